--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -253,13 +253,15 @@
     request.asked = asked;
     request.deadline = now_ + asked.time_left;
     deadlines_.insert({request.deadline - kAnswerEarly, asked.request});
-    if (asked.cls >= classes_.size()) return finish(request);
+    if (asked.cls >= classes_.size()) return finish(request, "of no class");
     if (in_order(request)) turns_.join(asked.order_key, asked.request);
     request.size = size_of(asked);
     copy_work_ = std::min(copy_work_ + kCopyPart * classes_[asked.cls].work, kCopiesSaved * heaviest());
-    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
-    if (too_late(asked)) return finish(request);
-    if (too_big(request) || foretold(request) > secs(asked.time_left)) return finish(request);
+    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded()))
+      return finish(request, "over share");
+    if (too_late(asked)) return finish(request, "late");
+    if (too_big(request)) return finish(request, "too big");
+    if (foretold(request) > secs(asked.time_left)) return finish(request, "too long");
     hold(request, false);
   }
 
@@ -318,8 +320,9 @@
     return found == requests_.end() ? nullptr : &found->second;
   }
 
-  void finish(Request& request) {
+  void finish(Request& request, const char* why) {
     if (!request.open) return;
+    ++given_up_[why];
     const auto id = request.asked.request;
     const Time pause = s_.retry_after ? s_.max_retry_after : Time::zero();
     may_refuse(request) ? put(Refuse{id, pause}) : put(Fail{id});
@@ -496,7 +499,7 @@
     const auto may = [&](const Engine* e) { return placed(request, *e) && repeat_allowed(request, *e); };
     const bool can = std::ranges::any_of(ready_, may);
     if (!can || request.attempts.size() >= s_.max_attempts || !within_retry_budget() || at_fault(request))
-      return finish(request);
+      return finish(request, "not to be repeated");
     hold(request, true);
   }
 
@@ -964,6 +967,19 @@
     ease_ = fleet_pace_ > kJamPace ? std::max(kLeastEase, ease_ * kEaseDown) : std::min(1.0, ease_ + kEaseUp);
   }
 
+  // What the loop goes by in this period, and for what reasons queries were given up.
+  void report() {
+    const auto tenths = [](double value) { return std::to_string(value).substr(0, 4); };
+    std::string said = "pool " + tenths(pool_) + " level " + tenths(level()) + " pace " + tenths(fleet_pace_);
+    for (const auto c : rank_)
+      said += "; " + s_.classes[c].name + " held " + std::to_string(classes_[c].queue.size()) + " running " +
+              std::to_string(classes_[c].running) + " budget " + tenths(classes_[c].budget) + " usual " +
+              tenths(classes_[c].usual);
+    for (const auto& [why, count] : given_up_) said += "; " + std::to_string(count) + " " + why;
+    given_up_.clear();
+    put(Trace{said});
+  }
+
   void sample() {
     ease();
     for (auto* engine : ready_) {
@@ -972,6 +988,7 @@
       engine->slow = false;
       fleet_changed_ = true;
     }
+    report();
     const double all = pool();
     const double wanted = sum(&Class::u);
     for (const auto c : rank_) {
@@ -1004,7 +1021,7 @@
     fill_tokens(passed);
     own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
-      finish(requests_.at(deadlines_.begin()->second));
+      finish(requests_.at(deadlines_.begin()->second), "at the deadline");
     drop_overdue();
     for (const auto id : std::vector(busy_.begin(), busy_.end())) watch(engines_.at(id));
     for (auto* engine : few_ ? std::vector<Engine*>() : ready_) probe(*engine, 0);
@@ -1038,7 +1055,8 @@
   void drop_overdue() {
     for (auto& cls : classes_)
       for (const auto id : std::vector(cls.queue.begin(), cls.queue.end()))
-        if (auto& request = requests_.at(id); now_ - request.queued > most_hold(request)) finish(request);
+        if (auto& request = requests_.at(id); now_ - request.queued > most_hold(request))
+          finish(request, "held too long");
   }
 
   double share_rate(std::size_t t) const {
@@ -1092,11 +1110,12 @@
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
   double peer_gap_ = 0, peer_threads_ = 0;
   unsigned peers_heard_ = 0;
-  double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
-  double mean_threads_ = 0;              // a query, over the classes
-  double own_threads_ = 0;               // that run here, of late
-  double scatter_ = 1;                   // of reports, see kScatter
-  double fleet_errors_ = 0;              // share of all engines' outcomes of late
+  double level_ = -1, told_level_ = -1;       // threads a core, by gateways and by reports; -1: none
+  double mean_threads_ = 0;                   // a query, over the classes
+  double own_threads_ = 0;                    // that run here, of late
+  double scatter_ = 1;                        // of reports, see kScatter
+  std::map<std::string, unsigned> given_up_;  // in this period, by the reason
+  double fleet_errors_ = 0;                   // share of all engines' outcomes of late
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -77,6 +77,7 @@
     if (!engine.idle.empty() && (oldest == nullptr || engine.idle.front()->since < oldest->since))
       oldest = engine.idle.front();
   }
+  ++(oldest != nullptr ? counts_.evicted : counts_.starved);
   if (oldest != nullptr) remove(*oldest);
   return oldest != nullptr;
 }
@@ -84,8 +85,10 @@
 void Pool::dial(std::uint32_t id, Engine& engine) {
   const auto address = parse_address(engine.address);
   auto fd = address ? begin_connect(*address) : Fd();
+  ++counts_.dialled;
   if (!fd) {
     ++engine.failures;
+    ++counts_.refused;
     return;
   }
   const auto serial = ++serial_;
@@ -123,7 +126,10 @@
 }
 
 void Pool::lose(Connection& connection, bool clean) {
-  if (!connection.lost) return remove(connection);
+  if (!connection.lost) {
+    ++counts_.broken;
+    return remove(connection);
+  }
   const auto lost = std::move(connection.lost);
   connection.lost = nullptr;
   lost(clean);
@@ -133,6 +139,7 @@
   auto& engine = engines_[connection.engine];
   if (!well) {
     ++engine.failures;
+    ++counts_.refused;
     return remove(connection);
   }
   connection.ready = true;
@@ -148,9 +155,11 @@
       connection->idle = false;
       // The engine may have closed it while it lay idle, and the loop not have come to that yet.
       if (connection->stream.stale()) {
+        ++counts_.stale;
         remove(*connection);
         continue;
       }
+      ++counts_.reused;
       auto waiter = std::move(engine.waiting.front());
       engine.waiting.pop_front();
       waiter.taker(connection);
@@ -185,13 +194,18 @@
   now_ = now;
   dials_.advance(now, [this](std::uint64_t serial) {
     const auto found = connections_.find(serial);
-    if (found != connections_.end() && !found->second->ready) dialled(*found->second, false);
+    if (found == connections_.end() || found->second->ready) return;
+    ++counts_.late;
+    --counts_.refused;
+    dialled(*found->second, false);
   });
   if (now < swept_ + kSweep) return;
   swept_ = now;
   for (auto& [id, engine] : engines_) {
-    while (!engine.idle.empty() && engine.idle.front()->since + limits_.idle_life <= now)
+    while (!engine.idle.empty() && engine.idle.front()->since + limits_.idle_life <= now) {
+      ++counts_.aged;
       remove(*engine.idle.front());
+    }
   }
   // Engines come with new ids for ever.
   std::erase_if(engines_, [](const auto& entry) {
@@ -200,4 +214,16 @@
   });
 }
 
+std::string Pool::state() const {
+  std::size_t idle = 0, dialling = 0, waiting = 0;
+  for (const auto& [id, engine] : engines_) {
+    idle += engine.idle.size();
+    dialling += engine.dialling;
+    waiting += engine.waiting.size();
+  }
+  return std::to_string(connections_.size()) + " of " + std::to_string(limits_.most) + " connections, " +
+         std::to_string(idle) + " idle, " + std::to_string(dialling) + " dialling, " +
+         std::to_string(waiting) + " wanted";
+}
+
 }  // namespace bellstair::net
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -64,6 +64,17 @@
 
   [[nodiscard]] std::size_t size() const { return connections_.size(); }
 
+  // How connections have fared since the last time these were taken.
+  struct Counts {
+    std::size_t dialled = 0, refused = 0, late = 0;  // connections begun; not made, within the time and after
+    std::size_t reused = 0, stale = 0,
+                broken = 0;  // handed out again; found closed; lost while they lay idle
+    std::size_t aged = 0, evicted = 0, starved = 0;  // idle for long; closed for another; none could be
+    auto operator<=>(const Counts&) const = default;
+  };
+  [[nodiscard]] Counts take_counts() { return std::exchange(counts_, {}); }
+  [[nodiscard]] std::string state() const;  // what there is now, for the log
+
  private:
   struct Waiter {
     std::uint64_t ticket = 0;
@@ -96,6 +107,7 @@
   std::uint64_t serial_ = 0, tickets_ = 0;
   bool starved_ = false;  // a dial waits for a descriptor
   Time now_{}, swept_{};
+  Counts counts_;
 };
 
 }  // namespace bellstair::net
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 #include "sql/value.hpp"
 
@@ -20,6 +21,7 @@
 constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
+constexpr core::Time kReport = 2s;  // between lines in the log
 
 struct HttpSession : net::Session {
   HttpReader reader{kMostBody};
@@ -86,6 +88,7 @@
   const bool fit = end == End::answered && answer.keep_alive && connection.stream.open();
   connection.data = nullptr;
   connection.lost = nullptr;
+  ++call_ends_[static_cast<std::size_t>(end)];
   if (!fit) pool_.discard(connection);
   call.done(end, answer);
 }
@@ -105,6 +108,29 @@
   now_ = now;
   pool_.tick(now);
   patience_.advance(now, [this](std::uint64_t serial) { finish(serial, End::silent); });
+  if (now >= reported_ + kReport) report();
+}
+
+// What befalls connections, calls and attempts, one line for them all; none while nothing happens.
+void Engines::report() {
+  reported_ = now_;
+  const auto calls = std::exchange(call_ends_, {});
+  const auto ends = std::exchange(attempt_ends_, {});
+  const auto c = pool_.take_counts();
+  if (calls == decltype(calls){} && ends == decltype(ends){} && c == net::Pool::Counts{}) return;
+  const auto call = [&](End end) { return calls[static_cast<std::size_t>(end)]; };
+  const auto attempt = [&](AttemptEnd end) { return ends[static_cast<std::size_t>(end)]; };
+  std::fprintf(
+      stderr,
+      "bellstair: engines: %s; %zu dialled, %zu refused, %zu late, %zu reused, %zu stale, %zu broken, %zu "
+      "aged, %zu evicted, %zu starved; calls %zu answered, %zu unsent, %zu broken, %zu silent; attempts %zu "
+      "out, %zu served, %zu error, %zu turned away, %zu expired, %zu not connected, %zu reset, %zu "
+      "withdrawn\n",
+      pool_.state().c_str(), c.dialled, c.refused, c.late, c.reused, c.stale, c.broken, c.aged, c.evicted,
+      c.starved, call(End::answered), call(End::unsent), call(End::broken), call(End::silent),
+      attempts_.size(), attempt(AttemptEnd::served), attempt(AttemptEnd::error),
+      attempt(AttemptEnd::turned_away), attempt(AttemptEnd::expired), attempt(AttemptEnd::not_connected),
+      attempt(AttemptEnd::reset), attempt(AttemptEnd::withdrawn));
 }
 
 // ---- effects
@@ -356,6 +382,7 @@
       };
     }
   }
+  ++attempt_ends_[static_cast<std::size_t>(how)];
   attempt.result.end = how;
   if (how != AttemptEnd::served) attempt.result.body.clear();
   post_(std::move(attempt.result));
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -3,6 +3,7 @@
 
 #include <ev++.h>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -68,6 +69,7 @@
   bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
   void end(core::AttemptId id, core::AttemptEnd how);
   void give_up(core::AttemptId id);  // tells the engine
+  void report();
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
 
@@ -79,7 +81,10 @@
   std::unordered_map<core::EngineId, std::string> addresses_;
   core::TimerWheel<std::uint64_t> patience_{std::chrono::milliseconds(5)};
   std::uint64_t serial_ = 0;
-  core::Time now_{};
+  // Since the last report to the log: how calls have ended, and attempts.
+  std::array<std::size_t, static_cast<std::size_t>(End::silent) + 1> call_ends_{};
+  std::array<std::size_t, static_cast<std::size_t>(core::AttemptEnd::withdrawn) + 1> attempt_ends_{};
+  core::Time now_{}, reported_{};
 };
 
 }  // namespace bellstair::platform
