Redial connections that engines reset while new

One reset of a new connection was reported as "not connected", which the module takes for a dead process: it rests the engine, marks it cold and takes its queries back. The dial is now made again, three times in a row at the most, when the socket says ECONNRESET (the engine had let the connection in). A refused connection is still told at once.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -6,6 +6,7 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr Time kSweep = 1s;
+constexpr std::size_t kCutOff = 3;  // dials broken off in a row before an engine counts as not to be reached
 }  // namespace
 
 Pool::Pool(ev::loop_ref loop, Limits limits, Greeter greeter)
@@ -118,7 +119,7 @@
           },
       .closed =
           [this, &connection] {
-            if (!connection.ready) return dialled(connection, false);
+            if (!connection.ready) return not_dialled(connection);
             lose(connection, false);
           },
       .drained = {},
@@ -135,6 +136,15 @@
   lost(clean);
 }
 
+// An engine that lets a connection in is there: what broke it off says nothing of the next one. Only so many
+// in a row, and it can't be used.
+void Pool::not_dialled(Connection& connection) {
+  auto& engine = engines_[connection.engine];
+  if (!connection.stream.cut_off() || ++engine.cut_off > kCutOff) return dialled(connection, false);
+  ++counts_.cut_off;
+  remove(connection);  // whoever waits for it has another dialled
+}
+
 void Pool::dialled(Connection& connection, bool well) {
   auto& engine = engines_[connection.engine];
   if (!well) {
@@ -143,6 +153,7 @@
     return remove(connection);
   }
   connection.ready = true;
+  engine.cut_off = 0;
   --engine.dialling;
   release(connection);
 }
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -67,6 +67,7 @@
   // How connections have fared since the last time these were taken.
   struct Counts {
     std::size_t dialled = 0, refused = 0, late = 0;  // connections begun; not made, within the time and after
+    std::size_t cut_off = 0;                         // let in, broken off at once, and dialled again
     std::size_t reused = 0, stale = 0,
                 broken = 0;  // handed out again; found closed; lost while they lay idle
     std::size_t aged = 0, evicted = 0, starved = 0;  // idle for long; closed for another; none could be
@@ -87,10 +88,12 @@
     std::deque<Waiter> waiting;
     std::size_t dialling = 0;
     std::size_t failures = 0;  // dials that failed, not yet told to a waiter
+    std::size_t cut_off = 0;   // dials in a row that were let in and then broken off
   };
 
   void dial(std::uint32_t id, Engine& engine);
   void dialled(Connection& connection, bool well);
+  void not_dialled(Connection& connection);
   void lose(Connection& connection, bool clean);
   void hand_out(std::uint32_t id, Engine& engine);
   bool make_room();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -94,7 +94,10 @@
 void Stream::on_io(ev::io&, int events) {
   if (failed_) return fail();
   if (dialling_) {
-    if (connect_error(fd_.get()) != 0) return fail();
+    if (const int error = connect_error(fd_.get()); error != 0) {
+      cut_off_ = error == ECONNRESET;
+      return fail();
+    }
     dialling_ = false;
     const auto alive = alive_;
     watch();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -42,6 +42,8 @@
 
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   [[nodiscard]] bool dialling() const { return dialling_; }
+  // Dialling failed though the peer had let the connection in: it was broken off before its first use.
+  [[nodiscard]] bool cut_off() const { return cut_off_; }
   [[nodiscard]] std::size_t unwritten() const { return out_.size() - out_at_; }
   [[nodiscard]] std::size_t written() const { return written_; }  // bytes that the system has taken
   // For a stream at rest: true if the peer has closed it, or said something unasked.
@@ -55,7 +57,7 @@
 
   ev::io io_;
   Fd fd_;
-  bool dialling_, paused_ = false, ended_ = false, failed_ = false, finishing_ = false;
+  bool dialling_, paused_ = false, ended_ = false, failed_ = false, finishing_ = false, cut_off_ = false;
   std::size_t most_unwritten_;
   std::string out_;
   std::size_t out_at_ = 0, written_ = 0;
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -122,12 +122,13 @@
   const auto attempt = [&](AttemptEnd end) { return ends[static_cast<std::size_t>(end)]; };
   std::fprintf(
       stderr,
-      "bellstair: engines: %s; %zu dialled, %zu refused, %zu late, %zu reused, %zu stale, %zu broken, %zu "
+      "bellstair: engines: %s; %zu dialled, %zu refused, %zu late, %zu cut off, %zu reused, %zu stale, %zu "
+      "broken, %zu "
       "aged, %zu evicted, %zu starved; calls %zu answered, %zu unsent, %zu broken, %zu silent; attempts %zu "
       "out, %zu served, %zu error, %zu turned away, %zu expired, %zu not connected, %zu reset, %zu "
       "withdrawn\n",
-      pool_.state().c_str(), c.dialled, c.refused, c.late, c.reused, c.stale, c.broken, c.aged, c.evicted,
-      c.starved, call(End::answered), call(End::unsent), call(End::broken), call(End::silent),
+      pool_.state().c_str(), c.dialled, c.refused, c.late, c.cut_off, c.reused, c.stale, c.broken, c.aged,
+      c.evicted, c.starved, call(End::answered), call(End::unsent), call(End::broken), call(End::silent),
       attempts_.size(), attempt(AttemptEnd::served), attempt(AttemptEnd::error),
       attempt(AttemptEnd::turned_away), attempt(AttemptEnd::expired), attempt(AttemptEnd::not_connected),
       attempt(AttemptEnd::reset), attempt(AttemptEnd::withdrawn));
--- /dev/null
+++ b/tests/net/pool_test.cpp
@@ -0,0 +1,92 @@
+// The pool of connections, against a listener worked by hand.
+#include "net/pool.hpp"
+
+#include <gtest/gtest.h>
+
+#include "harness.hpp"
+
+namespace bellstair::test {
+namespace {
+
+class PoolTest : public testing::Test {
+ protected:
+  PoolTest() : listener_(net::listen_tcp(net::parse_address("127.0.0.1:0").value())), pool_(loop_, limits()) {
+    turn_.set<PoolTest, &PoolTest::on_turn>(this);
+    turn_.start(0.001, 0.001);  // keeps the loop turning while nothing comes
+    pool_.place(1, net::local_address(listener_.get()));
+    pool_.tick(1000s);
+  }
+  static net::Pool::Limits limits() {
+    net::Pool::Limits out;
+    out.dial_timeout = 60s;
+    out.idle_life = 60s;
+    return out;
+  }
+  void on_turn(ev::timer&, int) {}
+  void ask() {
+    pool_.acquire(1, [this](net::Pool::Connection* connection) {
+      ++told_;
+      got_ = connection;
+    });
+    pool_.settle();
+    dialled_ = pool_.take_counts().dialled;
+  }
+  bool until(const std::function<bool()>& reached) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!reached() && std::chrono::steady_clock::now() < end) {
+      loop_.run(ev::ONCE);
+      pool_.settle();
+    }
+    return reached();
+  }
+  // The next connection that was dialled; the loop has not heard of it yet.
+  Socket accept() {
+    int fd = -1;
+    until([&] { return (fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC)) >= 0; });
+    return Socket(fd);
+  }
+
+  net::Fd listener_;
+  ev::dynamic_loop loop_;
+  ev::timer turn_{loop_};
+  net::Pool pool_;
+  int told_ = 0;
+  std::size_t dialled_ = 0;
+  net::Pool::Connection* got_ = nullptr;
+};
+
+TEST_F(PoolTest, AConnectionBrokenOffWhileItIsNewIsDialledAgain) {
+  ask();
+  // Established, and reset before the loop could look.
+  Socket(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC)).reset();
+  const auto second = accept();
+  ASSERT_TRUE(until([&] { return told_ == 1; }));
+  EXPECT_NE(got_, nullptr);
+}
+
+TEST_F(PoolTest, AnEngineThatBreaksOffEveryDialIsToldAsNotReached) {
+  ask();
+  int dials = 0;
+  while (told_ == 0 && dials < 100) {
+    const int fd = ::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC);
+    ASSERT_GE(fd, 0);
+    Socket(fd).reset();
+    const auto begun = dialled_;
+    ++dials;
+    ASSERT_TRUE(until([&] { return told_ == 1 || (dialled_ += pool_.take_counts().dialled) > begun; }));
+  }
+  EXPECT_EQ(got_, nullptr);
+  EXPECT_GT(dials, 1);
+  EXPECT_LT(dials, 10);
+}
+
+TEST_F(PoolTest, ARefusedDialIsToldAtOnce) {
+  listener_.reset();
+  ask();
+  ASSERT_TRUE(until([&] { return told_ == 1; }));
+  EXPECT_EQ(got_, nullptr);
+  EXPECT_EQ(dialled_ + pool_.take_counts().dialled, 1U);
+}
+
+}  // namespace
+}  // namespace bellstair::test
