Have engines told before an attempt whose news is lost ends

After two calls for news broke off, the driver ended the attempt as "reset" and the module sent the query elsewhere, while the first engine still ran it: queries outlive their connections. So did an attempt whose DELETE broke off on its way. Such an attempt is now deleted at its engine first, and a DELETE that breaks off is made again, eight times at the most.

Ruled out: two sends by the module (it sends nothing while an attempt is out), a statement repeated by the driver (no POST is made twice).

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -21,6 +21,7 @@
 constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
+constexpr int kDeletes = 8;
 constexpr core::Time kReport = 2s;  // between lines in the log
 
 struct HttpSession : net::Session {
@@ -208,18 +209,26 @@
     case Stage::paging:
       return end(effect.id, AttemptEnd::withdrawn);  // it has ended there
     case Stage::polling:
-      return give_up(effect.id);
+      return give_up(effect.id, AttemptEnd::withdrawn);
     case Stage::leaving:
     case Stage::deleting:
       return;
   }
 }
 
-void Engines::give_up(AttemptId id) {
+// Queries outlive their connections: until its engine has been told, this one may still run, and must not be
+// sent anywhere else. A call that broke off may not have come.
+void Engines::give_up(AttemptId id, AttemptEnd how) {
   auto& attempt = attempts_.at(id);
   attempt.stage = Stage::deleting;
+  ++attempt.deletes;
   aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}), kAside,
-        [this, id](End, HttpAnswer&) { end(id, AttemptEnd::withdrawn); });
+        [this, id, how](End end, HttpAnswer&) {
+          const auto found = attempts_.find(id);
+          if (found == attempts_.end()) return;
+          const bool unheard = end == End::broken || end == End::unsent;
+          unheard && found->second.deletes < kDeletes ? give_up(id, how) : this->end(id, how);
+        });
 }
 
 void Engines::run(const core::Reprioritize& effect) {
@@ -278,7 +287,7 @@
     attempt.connection = nullptr;                // it is gone
   if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
   if (how != End::answered) {
-    if (attempt.stage == Stage::leaving) return give_up(id);
+    if (attempt.stage == Stage::leaving) return give_up(id, AttemptEnd::withdrawn);
     if (posting && how == End::unsent) return end(id, AttemptEnd::expired);
     // Once a byte of a statement has left, it may have run, and is never sent again from here. Neither
     // silence nor an answer that breaks off or can't be read tells whether it runs: the engine is asked for
@@ -291,7 +300,7 @@
   if (answer.status == 202) {
     attempt.reconnects = 0;
     attempt.doubtful = false;
-    if (attempt.stage == Stage::leaving) return give_up(id);
+    if (attempt.stage == Stage::leaving) return give_up(id, AttemptEnd::withdrawn);
     attempt.stage = Stage::polling;
     post_(core::AttemptHeard{id});
     if (attempt.rank) run(core::Reprioritize{id, *std::exchange(attempt.rank, std::nullopt)});
@@ -350,7 +359,7 @@
 // News and pages may be asked for again: asking does nothing to the query.
 void Engines::reconnect(AttemptId id) {
   auto& attempt = attempts_.at(id);
-  if (++attempt.reconnects > kReconnects) return end(id, AttemptEnd::reset);
+  if (++attempt.reconnects > kReconnects) return give_up(id, AttemptEnd::reset);
   pool_.acquire(attempt.engine, [this, id](Connection* connection) {
     const auto found = attempts_.find(id);
     const bool wanted = found != attempts_.end() &&
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -48,6 +48,7 @@
     std::string query;                 // its path at the engine
     std::size_t next_page = 0, pages = 0;
     int reconnects = 0;                // in a row, without a good answer in between
+    int deletes = 0;                   // tries to have the engine told
     bool doubtful = false;             // nothing has proved yet that the statement has come
     std::optional<std::uint8_t> rank;  // a priority to be told once the engine knows the query
     core::AttemptEnded result;
@@ -68,7 +69,7 @@
   void reconnect(core::AttemptId id);
   bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
   void end(core::AttemptId id, core::AttemptEnd how);
-  void give_up(core::AttemptId id);  // tells the engine
+  void give_up(core::AttemptId id, core::AttemptEnd how);  // once the engine has been told
   void report();
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -250,5 +250,43 @@
   EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::not_connected);
 }
 
+// A query outlives its connections: until its engine has been told, a second copy elsewhere would run beside
+// it.
+TEST(Engines, AQueryWhoseNewsCannotBeHadIsDeletedBeforeItEnds) {
+  HttpEngine engine([](const Call& call) -> std::optional<std::string> {
+    if (poll(call)) return std::nullopt;
+    return http(gone(call) ? 204 : 202);
+  });
+  Driven d(engine);
+  d.start();
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::reset);
+  EXPECT_EQ(engine.calls.count(gone), 1U);
+}
+
+TEST(Engines, ADeleteThatBreaksOffIsMadeAgain) {
+  std::atomic<int> deletes = 0;
+  HttpEngine engine([&](const Call& call) -> std::optional<std::string> {
+    if (gone(call) && ++deletes < 3) return std::nullopt;
+    return http(gone(call) ? 204 : 202);
+  });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  d.run(core::Abandon{d.id});
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::withdrawn);
+  EXPECT_EQ(engine.calls.count(gone), 3U);
+}
+
+TEST(Engines, AnEngineThatBreaksOffEveryCallHoldsNoAttemptForEver) {
+  std::atomic<bool> broken = false;
+  HttpEngine engine([&](const Call&) { return broken ? std::nullopt : std::optional(http(202)); });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  broken = true;
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::reset);
+  EXPECT_GT(engine.calls.count(gone), 1U);
+}
+
 }  // namespace
 }  // namespace bellstair::test
