Tell lost connections from ended engines

A query whose POST broke off, and which its engine answers not to know, was told to the module as "reset". The module, which may not probe here, takes one reset for an ended process: it rests the engine, marks it cold for the whole ramp and takes back its queries. The driver has just heard the engine, so it now says "lost": the query may have run (no more is promised than before), but the engine is there; the module counts it as one failed query, and two in a row rest an engine as other failures do.

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -103,7 +103,8 @@
 
 enum class EngineState { draining, ready, gone };
 enum class ListKind { delta, full, cached, failed };
-enum class Result { served, error, turned_away, timed_out, not_connected, reset, called_off, moot };
+// lost: the connection broke and it may have run, but its engine is there and has the query no more.
+enum class Result { served, error, turned_away, timed_out, not_connected, reset, called_off, moot, lost };
 enum class NoteKind { progress, spill, waiting };
 
 struct EngineEntry {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -521,6 +521,8 @@
     // The statement may be at fault. Where another engine can be asked, its answer tells.
     if (result == Result::error && set(request).effect != Effect::unsafe) return;
     if (result == Result::error) return judge_failed(engine, kErrorStep);
+    // Its engine lives: what broke the connection may break any engine's, and no process has begun anew.
+    if (result == Result::lost) return judge_failed(engine, kErrorStep);
     if (result == Result::turned_away && level() < 0) return rest(engine, "is full");
     if (result == Result::turned_away)
       return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -56,6 +56,7 @@
   expired,        // it never ran: over before it began
   not_connected,  // it never ran
   reset,          // the connection broke: it may have run
+  lost,           // so it did, but its engine was heard since, and has the query no more
   withdrawn       // given up, and the engine has been told as far as it could be
 };
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -33,6 +33,8 @@
       return Result::not_connected;
     case AttemptEnd::reset:
       return Result::reset;
+    case AttemptEnd::lost:
+      return Result::lost;
     case AttemptEnd::withdrawn:
       break;
   }
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -126,13 +126,13 @@
       "bellstair: engines: %s; %zu dialled, %zu refused, %zu late, %zu cut off, %zu reused, %zu stale, %zu "
       "broken, %zu "
       "aged, %zu evicted, %zu starved; calls %zu answered, %zu unsent, %zu broken, %zu silent; attempts %zu "
-      "out, %zu served, %zu error, %zu turned away, %zu expired, %zu not connected, %zu reset, %zu "
+      "out, %zu served, %zu error, %zu turned away, %zu expired, %zu not connected, %zu reset, %zu lost, %zu "
       "withdrawn\n",
       pool_.state().c_str(), c.dialled, c.refused, c.late, c.cut_off, c.reused, c.stale, c.broken, c.aged,
       c.evicted, c.starved, call(End::answered), call(End::unsent), call(End::broken), call(End::silent),
       attempts_.size(), attempt(AttemptEnd::served), attempt(AttemptEnd::error),
       attempt(AttemptEnd::turned_away), attempt(AttemptEnd::expired), attempt(AttemptEnd::not_connected),
-      attempt(AttemptEnd::reset), attempt(AttemptEnd::withdrawn));
+      attempt(AttemptEnd::reset), attempt(AttemptEnd::lost), attempt(AttemptEnd::withdrawn));
 }
 
 // ---- effects
@@ -227,7 +227,9 @@
           const auto found = attempts_.find(id);
           if (found == attempts_.end()) return;
           const bool unheard = end == End::broken || end == End::unsent;
-          unheard && found->second.deletes < kDeletes ? give_up(id, how) : this->end(id, how);
+          if (unheard && found->second.deletes < kDeletes) return give_up(id, how);
+          const bool there = how == AttemptEnd::reset && end == End::answered;
+          this->end(id, there ? AttemptEnd::lost : how);
         });
 }
 
@@ -325,7 +327,7 @@
   if (never_ran && answer.status == 503) return end(id, AttemptEnd::turned_away);
   if (never_ran && answer.status == 504) return end(id, AttemptEnd::expired);
   // An engine that does not know it may never have got it.
-  end(id, attempt.doubtful ? AttemptEnd::reset : AttemptEnd::error);
+  end(id, attempt.doubtful ? AttemptEnd::lost : AttemptEnd::error);
 }
 
 bool Engines::take_page(Attempt& attempt, HttpAnswer& answer) {
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -367,6 +367,32 @@
   }
 }
 
+// With no probes to ask by, one connection broken on its way rested an engine that was well, and kept it
+// cold.
+TEST(Unreachable, AnEngineHeardAfterItsConnectionBrokeIsRestedByNoSingleLoss) {
+  for (const auto result : {Result::lost, Result::reset}) {
+    Drive d(plain_settings());
+    d.list({engine(7)});
+    d.ask(1, 0);
+    d.ends(1, 0, 7, result);
+    d.ends(1, 1, 7, Result::served);
+    for (RequestId id = 2; id < 12; ++id) d.ask(id, 0);
+    EXPECT_EQ(d.sends.size(), result == Result::lost ? 10U : 1U);
+  }
+}
+
+TEST(Unreachable, AnEngineThatLosesQueryAfterQueryIsRested) {
+  Drive d(plain_settings());
+  d.list({engine(7), engine(8)});
+  RequestId id = 0;
+  for (int n = 0; n < 40; ++n) {
+    d.ask(++id, 0);
+    const auto at = d.sends.back();
+    d.ends(id, 0, at.engine, at.engine == 7 ? Result::lost : Result::served);
+  }
+  EXPECT_LE(d.sends_to(7), 6);
+}
+
 TEST(ManyEngines, OneThatNothingTellsOfIsNotTakenForEmpty) {
   Settings s = plain_settings();
   s.gateways = 100;
