--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -976,7 +976,7 @@
     for (const auto c : rank_)
       said += "; " + s_.classes[c].name + " held " + std::to_string(classes_[c].queue.size()) + " running " +
               std::to_string(classes_[c].running) + " budget " + tenths(classes_[c].budget) + " usual " +
-              tenths(classes_[c].usual);
+              tenths(classes_[c].usual) + " estimate " + tenths(classes_[c].estimate);
     for (const auto& [why, count] : given_up_) said += "; " + std::to_string(count) + " " + why;
     given_up_.clear();
     put(Trace{said});
