Ask an unheard engine one query even past the crowd limit

A gateway whose last reports said "full" held everything back from every engine. With nothing out it heard no newer report, and stood still until its level was forgotten after 5 s. Where only answers tell of engines, an engine not heard of for 1.5 s (the time in which a report loses its weight) now gets one query of a gateway that has none there.

Ruled out: health (no engine rested), budgets (3.5 to 20 threads unused), connections (56 idle).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -844,7 +844,10 @@
     const double size = cores(engine) * warmth(engine, 0s);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
-    if (all && *all + 0.5 * threads > kTopCrowd * ease * size) return false;
+    // Held back everywhere, a gateway would go by what it heard last: where only answers tell of engines, one
+    // not heard of for as long as a report counts is asked a query.
+    if (all && *all + 0.5 * threads > kTopCrowd * ease * size)
+      return level_ < 0 && engine.threads == 0 && secs(now_ - engine.reported) > kReportLife;
     // A slow engine is still sent something by each gateway: its pace would never be seen to change.
     const double swift = size / slowness(engine);
     if (own <= kThreadsPerCore * swift / s_.gateways || engine.threads == 0) return true;
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -740,6 +740,34 @@
   EXPECT_EQ(d.answers(5000), 0);
 }
 
+// Held back from all engines by what it heard last, a gateway heard nothing newer, and sent nothing for 5 s.
+TEST(Crowd, AGatewayHeldBackFromEverywhereHearsOfEachEngineAgain) {
+  Settings s = plain_settings();
+  s.gateways = 4;
+  s.load_fields = {LoadField::inflight};
+  Drive d(s);
+  d.list({engine(7), engine(8)});
+  RequestId id = 0;
+  for (; id < 20 && d.answers(id) == 0; ++id) {
+    d.ask(id + 1, 0);
+    if (d.sends_of(id + 1) == 0) break;
+    Outcome o;
+    o.request = id + 1;
+    o.engine = d.sends.back().engine;
+    o.result = Result::served;
+    o.latency = 100ms;
+    o.closed = true;
+    o.load = {60};
+    d.at(d.now, {o});
+  }
+  ASSERT_LT(id, 20U) << "the engines are full by their reports";
+  d.until(d.now + 1600ms);
+  ASSERT_EQ(d.gateway.view(0).running, 0U);
+  const auto before = d.sends.size();
+  for (RequestId n = 100; n < 110; ++n) d.ask(n, 0);
+  EXPECT_EQ(d.sends.size() - before, 2U) << "one to each engine";
+}
+
 TEST(Tenants, AFloodIsRefusedOnceQueriesWaitAndOthersAreNot) {
   Settings s = plain_settings();
   s.over_share_worth = 0.05;
