Send loads of one data group to different engines

A load holds its data set on its engine until it ends, so a second load of that set there stands still behind it. Engine choice did not know: it even drew loads of a set to the set's two home engines, for warm data. An engine on which this gateway has a load of the same set out now counts as fuller by six threads a core.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,15 +41,17 @@
 constexpr double kJamPace = 1.5;                    // pace that tells the fleet is past its peak
 constexpr double kLeastEase = 0.5;                  // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
-constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
-constexpr double kSlow = 2.0;         // times slower than the fleet: what is less is chance
-constexpr Time kSlowLook = 4s;        // without an answer of a slow engine, it gets another chance
-constexpr double kMostSlow = 6.0;     // times slower than the fleet that an engine counts for at most
-constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
-constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
-constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
-constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
-constexpr double kFarZone = 20;       // threads a core that another zone must be emptier by, for a price of 1
+constexpr double kUsualSpeed = 1.5;  // answer time against the usual: up to here an engine is at usual speed
+constexpr double kSlow = 2.0;        // times slower than the fleet: what is less is chance
+constexpr Time kSlowLook = 4s;       // without an answer of a slow engine, it gets another chance
+constexpr double kMostSlow = 6.0;    // times slower than the fleet that an engine counts for at most
+constexpr double kPaceStep = 0.1;    // weight of one answer in an engine's pace
+constexpr double kLevelStep = 0.1;   // weight of one report in the fleet's level, threads a core
+constexpr double kFleetStep = 0.04;  // weight of one answer in the fleet's pace
+constexpr double kOwnPart = 0.25;    // of an engine's load as judged: own threads times gateways
+constexpr double kFarZone = 20;      // threads a core that another zone must be emptier by, for a price of 1
+constexpr double kSameLoad =
+    6.0;  // threads a core that others may be fuller by than one that loads the group
 constexpr double kSameAgain = 3.0;    // threads a core that others may be fuller by for another attempt
 constexpr std::size_t kHomes = 2;     // engines that all loads of one group share, at the least;
 constexpr std::size_t kHomePart = 5;  // and one in so many of a large fleet
@@ -862,6 +864,14 @@
     return engine.health == Health::trial && engine.queries == 0 && set(request).effect == Effect::safe;
   }
 
+  // A load of the group is out there: another would stand still behind it.
+  bool loads(std::int64_t group, const Engine& engine) const {
+    return std::ranges::any_of(engine.out, [&](const auto& out) {
+      const auto& other = requests_.at(out.first);
+      return set(other).holds_group && other.asked.data_group == group;
+    });
+  }
+
   double crowding(const Request& request, Engine& engine) {
     const auto& set = this->set(request);
     // Reports are late and every gateway reads the same: by them alone all would run to one engine at once.
@@ -871,6 +881,7 @@
     if (engine.entry.zone != s_.zone) score += kFarZone * s_.price_cross_zone;
     if (!readers_wait_ && home(request.asked.data_group, engine)) score -= kWarmHome;
     if (set.waits_for_group && home(request.asked.data_group, engine)) score += kHomeKeepOff;
+    if (set.holds_group && loads(request.asked.data_group, engine)) score += kSameLoad;
     const auto there = [&](const Attempt& a) { return a.engine == engine.entry.engine; };
     return std::ranges::any_of(request.attempts, there) ? score + kSameAgain : score;
   }
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -740,6 +740,21 @@
   EXPECT_EQ(d.answers(5000), 0);
 }
 
+// A load holds its data group where it runs: a second one there stands still until the first has ended.
+TEST(Loads, OneOfAGroupThatIsBeingLoadedGoesToAnotherEngine) {
+  for (const std::int64_t group : {1, 2}) {
+    Settings s = plain_settings();
+    s.kinds = {{"large", 8, 0}, {"small", 1, 0}};
+    s.classes[1].holds_group = true;
+    Drive d(s);
+    d.list({engine(7, 0, 0), engine(8, 0, 1)});
+    d.ask(1, 1, 5s, 0, 1);
+    ASSERT_EQ(d.sends.back().engine, 7U) << "by far the emptier";
+    d.ask(2, 1, 5s, 0, group);
+    EXPECT_EQ(d.sends.back().engine, group == 1 ? 8U : 7U);
+  }
+}
+
 // Held back from all engines by what it heard last, a gateway heard nothing newer, and sent nothing for 5 s.
 TEST(Crowd, AGatewayHeldBackFromEverywhereHearsOfEachEngineAgain) {
   Settings s = plain_settings();
