Let a key rest after a lost load, as after a reset

Telling lost queries from resets took away the rest that a key gets after an attempt of unknown end: the next load of the key left at once, while the lost one's statement could still come to its engine.

By reading, "lost" is the one new outcome after which a key did not rest. Not ruled out: a DELETE that stays silent.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -489,7 +489,7 @@
     engine.threads -= set.threads;
     if (--engine.queries == 0) busy_.erase(outcome.engine);
     if (in_order(*request) && (outcome.result == Result::timed_out || outcome.result == Result::reset ||
-                               outcome.result == Result::called_off))
+                               outcome.result == Result::called_off || outcome.result == Result::lost))
       turns_.rest(request->asked.order_key, now_ + s_.order_rest);
     take_load(engine, outcome.load);
     judge(engine, *request, outcome);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -244,6 +244,24 @@
   EXPECT_EQ(d.sends_of(2), 1);
 }
 
+// The statement of a lost query may still be on its way to an engine that does not know it yet.
+TEST(Order, AKeyRestsAfterALostQueryToo) {
+  Settings s = plain_settings();
+  s.classes[kQuick].in_order = true;
+  s.order_rest = 300ms;
+  s.max_attempts = 1;
+  Drive d(s);
+  d.list({engine(7), engine(8)});
+  d.ask(1, kQuick, 5s, 42);
+  d.ask(2, kQuick, 5s, 42);
+  const Time over = d.now;
+  d.ends(1, 0, d.sends[0].engine, Result::lost);
+  d.until(over + 280ms);
+  EXPECT_EQ(d.sends_of(2), 0);
+  d.until(over + 320ms);
+  EXPECT_EQ(d.sends_of(2), 1);
+}
+
 TEST(Order, AnEarlierOneThatClosedWithItsAttemptOutStillHoldsTheKey) {
   Settings s = plain_settings();
   s.classes[kQuick].in_order = true;
