Let go of a query's connection as soon as its engine is being told to give it up

Cause: Engines::give_up() and Engines::answered() in stage deleting kept Attempt::connection while no call was out on it, so without a handler for its end. When the peer then closed or reset it, Pool::lose() freed it, and Engines::end() looked at it (src/platform/engines.cpp, 'connection->stream.open()').

Ruled out: calls that are out (Call::connection is dropped in finish() before the connection goes), the pool's own list of idle connections (remove() erases there).

Test: Engines.AConnectionThatEndsWhileItsQueryIsDeletedIsNotTouchedAgain, which ASan ends as heap-use-after-free without the change.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -222,6 +222,7 @@
 void Engines::give_up(AttemptId id, AttemptEnd how) {
   auto& attempt = attempts_.at(id);
   attempt.stage = Stage::deleting;
+  let_go(attempt);
   ++attempt.deletes;
   aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}), kAside,
         [this, id, how](End end, HttpAnswer&) {
@@ -234,6 +235,11 @@
         });
 }
 
+void Engines::let_go(Attempt& attempt) {
+  if (attempt.connection == nullptr || calls_.contains(attempt.call)) return;
+  pool_.release(*std::exchange(attempt.connection, nullptr));
+}
+
 void Engines::run(const core::Reprioritize& effect) {
   const auto found = attempts_.find(effect.id);
   if (found == attempts_.end()) return;
@@ -287,8 +293,8 @@
   auto& attempt = found->second;
   const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
   if (how != End::answered || !answer.keep_alive || !attempt.connection->stream.open())
-    attempt.connection = nullptr;                // it is gone
-  if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
+    attempt.connection = nullptr;                                // it is gone
+  if (attempt.stage == Stage::deleting) return let_go(attempt);  // the answer to that call ends it
   if (how != End::answered) {
     if (attempt.stage == Stage::leaving) return give_up(id, AttemptEnd::withdrawn);
     if (posting && how == End::unsent) return end(id, AttemptEnd::expired);
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -70,6 +70,7 @@
   bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
   void end(core::AttemptId id, core::AttemptEnd how);
   void give_up(core::AttemptId id, core::AttemptEnd how);  // once the engine has been told
+  void let_go(Attempt& attempt);                           // of its connection, if no call is out on it
   void report();
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -313,5 +313,38 @@
   EXPECT_GT(engine.calls.count(gone), 1U);
 }
 
+// The last call for its news is answered well while the engine is being told: its connection is free then,
+// and may go at any time.
+TEST(Engines, AConnectionThatEndsWhileItsQueryIsDeletedIsNotTouchedAgain) {
+  Log<std::string> calls;
+  std::promise<void> abandoned, closed;
+  Server server(
+      [&, answer = abandoned.get_future().share(), go = closed.get_future().share()](Socket& socket) {
+        while (true) {
+          const auto call = read_call(socket);
+          calls.add(call.method);
+          if (call.method == "DELETE") go.wait();
+          if (call.method == "GET") answer.wait();
+          socket.send(http(call.method == "DELETE" ? 204 : 202));
+          if (call.method != "GET") continue;
+          ::shutdown(socket.fd(), SHUT_WR);
+          socket.ended();  // the driver has closed it too
+          return closed.set_value();
+        }
+      });
+  HttpEngine unused([](const Call&) { return http(500); });
+  Driven d(unused);
+  d.run(core::EngineMoved{7, server.address()});
+  d.start();
+  const auto come = [&](const char* method) {
+    return calls.count([method](const std::string& call) { return call == method; }) > 0;
+  };
+  while (!come("GET")) d.turn();
+  d.run(core::Abandon{d.id});
+  while (!come("DELETE")) d.turn();
+  abandoned.set_value();
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::withdrawn);
+}
+
 }  // namespace
 }  // namespace bellstair::test
