Hold an attempt as out until its engine is told, or has ended the query unasked

Cause (src/platform/engines.cpp): reconnect() ended an attempt as reset when no connection came up, and give_up() took a DELETE that was silent or found no connection for one that had come. An engine that is cut off or at its limit of connections runs the query on.

Ruled out: the module's turns by key (the log shows the reset told before the next send), lists (no engine was listed as gone), the POST itself (it had its 202).

Tests: Engines.ADeleteWithoutAWordIsMadeAgainAndTheAttemptIsOutUntilThen and Engines.AQueryWhoseEngineIsOutOfReachIsOutUntilTheEngineHasEndedItUnasked; both fail without the change.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -22,7 +22,9 @@
 constexpr core::Time kSilence = 400ms, kPageSilence = 250ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
-constexpr int kDeletes = 8;
+constexpr core::Time kTellPause = 50ms;  // between two tries to have an engine told
+// A query that nobody has asked for in 2 s ends at its engine; a call that came may be held there for 250 ms.
+constexpr core::Time kForgotten = 2s + 250ms + 150ms;
 constexpr core::Time kReport = 2s;  // between lines in the log
 
 struct HttpSession : net::Session {
@@ -95,21 +97,29 @@
   call.done(end, answer);
 }
 
-void Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Done done) {
-  pool_.acquire(engine, [this, bytes = std::move(bytes), patience, done = std::move(done)](Connection* c) {
-    HttpAnswer none;
-    if (c == nullptr) return done(End::not_connected, none);
-    call(*c, bytes, patience, [this, c, done](End end, HttpAnswer& answer) {
-      if (end == End::answered && answer.keep_alive && c->stream.open()) pool_.release(*c);
-      done(end, answer);
-    });
-  });
+std::uint64_t Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Done done) {
+  return pool_.acquire(engine,
+                       [this, bytes = std::move(bytes), patience, done = std::move(done)](Connection* c) {
+                         HttpAnswer none;
+                         if (c == nullptr) return done(End::not_connected, none);
+                         call(*c, bytes, patience, [this, c, done](End end, HttpAnswer& answer) {
+                           if (end == End::answered && answer.keep_alive && c->stream.open())
+                             pool_.release(*c);
+                           done(end, answer);
+                         });
+                       });
 }
 
 void Engines::tick(core::Time now) {
   now_ = now;
   pool_.tick(now);
   patience_.advance(now, [this](std::uint64_t serial) { finish(serial, End::silent); });
+  tell_again_.advance(now, [this](core::AttemptId id) {
+    if (attempts_.contains(id)) tell(id);
+  });
+  forgotten_.advance(now, [this](core::AttemptId id) {
+    if (attempts_.contains(id)) forgotten(id);
+  });
   if (now >= reported_ + kReport) report();
 }
 
@@ -218,21 +228,35 @@
 }
 
 // Queries outlive their connections: until its engine has been told, this one may still run, and must not be
-// sent anywhere else. A call that broke off may not have come.
+// sent anywhere else. A call that broke off, or was not answered, may not have come: only an answer tells
+// that it has, or so long a time that the engine has ended the query unasked.
 void Engines::give_up(AttemptId id, AttemptEnd how) {
   auto& attempt = attempts_.at(id);
+  if (attempt.stage == Stage::deleting) return;
   attempt.stage = Stage::deleting;
+  attempt.given_up = how;
   let_go(attempt);
-  ++attempt.deletes;
-  aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}), kAside,
-        [this, id, how](End end, HttpAnswer&) {
-          const auto found = attempts_.find(id);
-          if (found == attempts_.end()) return;
-          const bool unheard = end == End::broken || end == End::unsent;
-          if (unheard && found->second.deletes < kDeletes) return give_up(id, how);
-          const bool there = how == AttemptEnd::reset && end == End::answered;
-          this->end(id, there ? AttemptEnd::lost : how);
-        });
+  if (!forgotten(id)) tell(id);
+}
+
+void Engines::tell(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  attempt.ticket = aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}),
+                         kAside, [this, id](End how, HttpAnswer&) {
+                           const auto found = attempts_.find(id);
+                           if (found == attempts_.end()) return;
+                           if (how != End::answered) return tell_again_.arm(now_ + kTellPause, id);
+                           const auto given_up = found->second.given_up;
+                           end(id, given_up == AttemptEnd::reset ? AttemptEnd::lost : given_up);
+                         });
+}
+
+bool Engines::forgotten(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  if (calls_.contains(attempt.call)) attempt.asked = now_;
+  const bool ended = now_ >= attempt.asked + kForgotten;
+  ended ? end(id, attempt.given_up) : forgotten_.arm(attempt.asked + kForgotten, id);
+  return ended;
 }
 
 void Engines::let_go(Attempt& attempt) {
@@ -293,8 +317,12 @@
   auto& attempt = found->second;
   const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
   if (how != End::answered || !answer.keep_alive || !attempt.connection->stream.open())
-    attempt.connection = nullptr;                                // it is gone
-  if (attempt.stage == Stage::deleting) return let_go(attempt);  // the answer to that call ends it
+    attempt.connection = nullptr;  // it is gone
+  if (how != End::unsent) attempt.asked = now_;
+  if (attempt.stage == Stage::deleting) {
+    if (how == End::answered && answer.status != 202) return end(id, attempt.given_up);
+    return let_go(attempt);
+  }
   if (how != End::answered) {
     if (attempt.stage == Stage::leaving) return give_up(id, AttemptEnd::withdrawn);
     if (posting && how == End::unsent) return end(id, AttemptEnd::expired);
@@ -378,7 +406,7 @@
       if (connection != nullptr) pool_.release(*connection);
       return;
     }
-    if (connection == nullptr) return end(id, AttemptEnd::reset);
+    if (connection == nullptr) return give_up(id, AttemptEnd::reset);
     found->second.connection = connection;
     ask(id);
   });
@@ -389,6 +417,8 @@
   if (found == attempts_.end()) return;
   auto attempt = std::move(found->second);
   attempts_.erase(found);
+  // The engine may get it again under the same name: a DELETE that has not left must not do so then.
+  if (attempt.stage == Stage::deleting) pool_.withdraw(attempt.engine, attempt.ticket);
   if (auto* connection = attempt.connection; connection != nullptr && connection->stream.open()) {
     // A call that is still out on it ends by itself, and frees the connection then.
     const auto out = calls_.find(attempt.call);
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -47,8 +47,9 @@
     std::uint64_t call = 0;            // the one that starts it
     std::string query;                 // its path at the engine
     std::size_t next_page = 0, pages = 0;
-    int reconnects = 0;                // in a row, without a good answer in between
-    int deletes = 0;                   // tries to have the engine told
+    int reconnects = 0;  // in a row, without a good answer in between
+    core::Time asked{};  // the engine may have heard a call for it until then
+    core::AttemptEnd given_up = core::AttemptEnd::withdrawn;  // how it ends once that is settled
     bool doubtful = false;             // nothing has proved yet that the statement has come
     std::optional<std::uint8_t> rank;  // a priority to be told once the engine knows the query
     core::AttemptEnded result;
@@ -61,16 +62,19 @@
 
   std::uint64_t call(Connection& connection, const std::string& bytes, core::Time patience, Done done);
   void finish(std::uint64_t serial, End end);
-  // A call on any connection of the engine's.
-  void aside(core::EngineId engine, std::string bytes, core::Time patience, Done done);
+  // A call on any connection of the engine's; gives the pool's ticket for that.
+  std::uint64_t aside(core::EngineId engine, std::string bytes, core::Time patience, Done done);
 
   void answered(core::AttemptId id, End end, HttpAnswer& answer);
   void ask(core::AttemptId id);  // for news, or for the next page
   void reconnect(core::AttemptId id);
   bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
   void end(core::AttemptId id, core::AttemptEnd how);
-  void give_up(core::AttemptId id, core::AttemptEnd how);  // once the engine has been told
-  void let_go(Attempt& attempt);                           // of its connection, if no call is out on it
+  // Ends it once the engine has been told, or has ended the query itself.
+  void give_up(core::AttemptId id, core::AttemptEnd how);
+  void tell(core::AttemptId id);
+  bool forgotten(core::AttemptId id);  // true: its engine has ended it by now, and so has this
+  void let_go(Attempt& attempt);       // of its connection, if no call is out on it
   void report();
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
@@ -82,6 +86,8 @@
   std::unordered_map<std::uint64_t, Call> calls_;
   std::unordered_map<core::EngineId, std::string> addresses_;
   core::TimerWheel<std::uint64_t> patience_{std::chrono::milliseconds(5)};
+  core::TimerWheel<core::AttemptId> tell_again_{std::chrono::milliseconds(5)},
+      forgotten_{std::chrono::milliseconds(5)};
   std::uint64_t serial_ = 0;
   // Since the last report to the log: how calls have ended, and attempts.
   std::array<std::size_t, static_cast<std::size_t>(End::silent) + 1> call_ends_{};
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -16,17 +16,24 @@
                  [this](core::Event e) { events.push_back(std::move(e)); }) {
     engines_.run(core::EngineMoved{7, engine.server.address()});
   }
+  // In each turn the driver's clock gains `step`.
   template <class T>
-  T wait() {
+  T wait(core::Time step = 0ms) {
     const auto until = std::chrono::steady_clock::now() + kPatience;
     while (std::chrono::steady_clock::now() < until) {
       for (const auto& event : events) {
         if (const auto* found = std::get_if<T>(&event)) return *found;
       }
+      ahead += step;
       turn();
     }
     throw std::runtime_error("what was waited for did not happen");
   }
+  template <class T>
+  [[nodiscard]] std::size_t count() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        events, [](const core::Event& event) { return std::holds_alternative<T>(event); }));
+  }
   // Turns of the loop until the engine has got such a call.
   void until(HttpEngine& engine, const std::function<bool(const Call&)>& fits) {
     const auto end = std::chrono::steady_clock::now() + kPatience;
@@ -175,7 +182,7 @@
     Driven d(unused);
     d.run(core::EngineMoved{7, server.address()});
     d.start();
-    EXPECT_EQ(d.wait<core::AttemptEnded>().end, expected) << answer;
+    EXPECT_EQ(d.wait<core::AttemptEnded>(50ms).end, expected) << answer;
   }
 }
 
@@ -309,10 +316,53 @@
   d.start();
   d.until(engine, poll);
   broken = true;
-  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::reset);
+  EXPECT_EQ(d.wait<core::AttemptEnded>(50ms).end, AttemptEnd::reset);
   EXPECT_GT(engine.calls.count(gone), 1U);
 }
 
+// Whether a DELETE has come can't be told from silence: the query may go on at an engine that is cut off.
+TEST(Engines, ADeleteWithoutAWordIsMadeAgainAndTheAttemptIsOutUntilThen) {
+  std::promise<void> over;
+  std::atomic<int> deletes = 0;
+  HttpEngine engine([&, wait = over.get_future().share()](const Call& call) {
+    if (gone(call) && ++deletes == 1) wait.wait();
+    return http(gone(call) ? 204 : 202);
+  });
+  const std::shared_ptr<void> freed(nullptr, [&](void*) { over.set_value(); });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  d.run(core::Abandon{d.id});
+  d.until(engine, gone);
+  while (deletes < 2) {
+    EXPECT_EQ(d.count<core::AttemptEnded>(), 0U);
+    d.ahead += 100ms;
+    d.turn();
+  }
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::withdrawn);
+}
+
+TEST(Engines, AQueryWhoseEngineIsOutOfReachIsOutUntilTheEngineHasEndedItUnasked) {
+  HttpEngine engine([](const Call&) { return http(202); });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  d.still = d.clock();
+  engine.server.stop();
+  d.turn();  // hears of it
+  // Those who wait for a connection are told in their turn: this one after the query that runs.
+  const core::AttemptId next{2, 0};
+  d.run(core::StartAttempt{next, 7});
+  while (d.count<core::AttemptEnded>() == 0) d.turn();
+  EXPECT_EQ(d.wait<core::AttemptEnded>().id, next);
+  *d.still += 2s + 300ms;
+  d.turn();
+  EXPECT_EQ(d.count<core::AttemptEnded>(), 1U);
+  *d.still += 200ms;
+  while (d.count<core::AttemptEnded>() < 2) d.turn();
+  EXPECT_EQ(std::get<core::AttemptEnded>(d.events.back()).end, AttemptEnd::reset);
+}
+
 // The last call for its news is answered well while the engine is being told: its connection is free then,
 // and may go at any time.
 TEST(Engines, AConnectionThatEndsWhileItsQueryIsDeletedIsNotTouchedAgain) {
