Take a ticket that has had its answer for no new request

Cause: Reducer::on(Arrived) (src/core/reducer.cpp) dropped a ticket with its request, so each asking came to the module as a request taken and widened the ration of further attempts. A ticket asked again after it was served would also have run a second time.

The harness of the tests asked twice under one ticket; it now draws one for each request, as clients do.

Tests: Reducer.ATicketThatHasHadItsAnswerIsNotTakenAgain and Platform.TheIdOfAnAnsweredRequestIsNotTakenForANewOne; both fail without the change.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -11,6 +11,9 @@
 
 // Should the module have left a request without its answer, it fails so long before the client gives up.
 constexpr Time kLastCall = 15ms;
+// A ticket that has had its final answer stays used for so long, while not too many are.
+constexpr Time kTicketUsed = 30s;
+constexpr std::size_t kMostUsedTickets = 8192;
 // An answer this close to the deadline is told as timed out, to the fronts that make a difference.
 constexpr Time kTimedOut = 60ms;
 
@@ -136,11 +139,13 @@
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
   if (asked.barred) return put(Answer{asked.client, AnswerKind::refused, *asked.barred, {}, {}});
+  forget_tickets();
   const auto bytes = weight(asked);
   if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_) {
     return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
   }
-  // Engines know a query by its ticket: another under the same would get the first one's answer.
+  // Engines know a query by its ticket: another under the same would get the first one's answer. Nor does a
+  // ticket stand for a new request once it has had its final answer: clients draw one with every try.
   if (!asked.ticket.empty() && !tickets_.insert(asked.ticket).second)
     return put(Answer{asked.client, AnswerKind::failed, {}, {}, {}});
   const auto id = ++last_request_;
@@ -393,10 +398,19 @@
   if (found == requests_.end() || !found->second.answered) return;
   const auto over = [](const Attempt& attempt) { return attempt.stage == Stage::over; };
   if (std::ranges::all_of(found->second.attempts, over)) {
-    held_bytes_ -= weight(found->second.asked);
-    tickets_.erase(found->second.asked.ticket);
+    auto& asked = found->second.asked;
+    held_bytes_ -= weight(asked);
+    if (!asked.ticket.empty()) answered_tickets_.emplace_back(now_, std::move(asked.ticket));
     requests_.erase(found);
   }
 }
 
+void Reducer::forget_tickets() {
+  while (!answered_tickets_.empty() && (answered_tickets_.front().first + kTicketUsed <= now_ ||
+                                        answered_tickets_.size() > kMostUsedTickets)) {
+    tickets_.erase(answered_tickets_.front().second);
+    answered_tickets_.pop_front();
+  }
+}
+
 }  // namespace bellstair::core
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -2,6 +2,7 @@
 // actions into effects. Knows no wire, and no clock but the one it is told.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -88,6 +89,7 @@
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
   void forget_if_done(RequestId id);
+  void forget_tickets();
   Request* find(RequestId id);
   Attempt* find(AttemptId id);
   void put(Effect effect) { out_->push_back(std::move(effect)); }
@@ -98,7 +100,8 @@
   TimerWheel<Alarm> wheel_{kTick};
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<Client, RequestId> by_client_;
-  std::unordered_set<std::string> tickets_;  // of the requests held
+  std::unordered_set<std::string> tickets_;  // of the requests held, and of those answered of late
+  std::deque<std::pair<Time, std::string>> answered_tickets_;  // of those held no more, and since when
   std::unordered_map<EngineId, Member> members_;
   std::unordered_map<EngineId, std::vector<Time>> probes_;  // when each one that is out was sent
   std::vector<heronwell::Event> news_;                      // for the module's next call
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "core/reducer.hpp"
 
@@ -281,5 +282,36 @@
   }
 }
 
+// Clients draw a ticket with every try. One that comes again after its answer is no request the ration of
+// further attempts could be counted by, and sent on it would run a second time under its name.
+TEST(Reducer, ATicketThatHasHadItsAnswerIsNotTakenAgain) {
+  for (const auto end : {AttemptEnd::served, AttemptEnd::turned_away}) {
+    Driven d;
+    Submission asked;
+    asked.limit = 2s;
+    asked.ticket = "9b1f03aa5c7e2d41";
+    for (Client client = 1; client <= 3; ++client) {
+      asked.client = client;
+      d.at(10ms, Arrived{asked});
+      for (const auto& start : d.all<StartAttempt>()) {
+        d.at(1ms, AttemptReady{start.id});
+        d.finish(start.id, end);
+      }
+      d.pass(2s);
+    }
+    std::set<RequestId> sent;
+    for (const auto& start : d.all<StartAttempt>()) sent.insert(start.id.request);
+    EXPECT_EQ(sent.size(), 1U);
+    const auto answers = d.all<Answer>();
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_EQ(answers[1].kind, AnswerKind::failed);
+    EXPECT_EQ(answers[2].kind, AnswerKind::failed);
+    d.pass(30s);
+    asked.client = 4;
+    d.at(10ms, Arrived{asked});
+    EXPECT_EQ(d.reducer.owed(), 1U);  // what is so long ago is not kept
+  }
+}
+
 }  // namespace
 }  // namespace bellstair::core
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -445,12 +445,19 @@
   std::vector<std::string> files_;
 };
 
+// What a client calls its n-th request, from 0: it draws a new name for each.
+inline std::string ticket(unsigned n) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%016llx", 0x9b1f03aa5c7e2d41ULL + n);
+  return out;
+}
+
 // A client of the platform's front.
 class Client {
  public:
   explicit Client(const std::string& address) : socket(Socket::to(address)) {}
   void ask(int id, const std::string& cls, const std::string& statement, json more = json::object()) {
-    json params{{"txn", "9b1f03aa5c7e2d41"},
+    json params{{"txn", ticket(asked_++)},
                 {"limit", 15000},
                 {"team", "acme"},
                 {"data", platform::to_base64(statement)}};
@@ -464,6 +471,9 @@
     return answer()["result"]["green"];
   }
   Socket socket;
+
+ private:
+  unsigned asked_ = 0;
 };
 inline std::string body(const json& answer) {
   return platform::from_base64(answer.at("result").at("data").get<std::string>()).value();
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -267,6 +267,17 @@
   EXPECT_EQ(engine.posts(), 1U);
 }
 
+TEST(Platform, TheIdOfAnAnsweredRequestIsNotTakenForANewOne) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client one(broker.address), two(broker.address);
+  one.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(one.answer()), "x\ty\tz\n");
+  two.ask(1, "lookup", kSelect);  // under the same id
+  EXPECT_TRUE(two.answer().contains("error"));
+  EXPECT_EQ(engine.posts(), 1U);
+}
+
 // A connection left waiting for want of descriptors would wake the loop for ever.
 TEST(Platform, OutOfDescriptorsItTurnsAwayWhatComesAndServesTheRest) {
   HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
