Send a keyed repeat within its window or not at all, however late its connection

Cause: the module (repeat_allowed() in src/choice.cpp) looks at the window when it decides, but the first byte leaves when a connection is ready, in Reducer::on(AttemptReady), which looked at the drain, the client and the attempt's end only. A repeat now carries the time by which it must leave; later it counts as never sent.

Test: Crossings.ARepeatWhoseConnectionComesUpAfterItsWindowIsNotSent, whose engine's queue is full until the system dials again, a second later; it fails without the change.

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -176,7 +176,8 @@
 struct Send {
   RequestId request = 0;
   EngineId engine = 0;
-  Time until{};  // clock time at which the attempt is given up
+  Time until{};     // clock time at which the attempt is given up
+  Time leave_by{};  // and by which its first byte must have left, or none may; 0: no such limit
 };
 struct CallOff {
   RequestId request = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -386,18 +386,20 @@
     return among(set(request).zones, engine.entry.zone) && among(set(request).kinds, engine.entry.kind);
   }
 
+  // Keyed: a repeat has to leave before this, however late its connection comes up.
+  Time repeat_until(const Request& request) const {
+    const auto first = std::ranges::find_if_not(request.attempts, &Attempt::proven_unrun);
+    const bool keyed = set(request).effect == Effect::keyed && first != request.attempts.end();
+    return keyed ? first->sent + set(request).window - kTick : Time::zero();
+  }
+
   bool repeat_allowed(const Request& request, const Engine& engine) const {
-    if (set(request).effect == Effect::safe) return true;
-    for (const auto& attempt : request.attempts) {
-      if (attempt.proven_unrun()) continue;
-      if (set(request).effect == Effect::unsafe) return false;
-      const auto group = set(request).group;
-      return now_ + kTick < attempt.sent + set(request).window &&
-             (group == RepeatGroup::all ||
-              (group == RepeatGroup::zone && attempt.zone == engine.entry.zone) ||
-              (group == RepeatGroup::cell && attempt.cell == engine.entry.cell));
-    }
-    return true;
+    const auto first = std::ranges::find_if_not(request.attempts, &Attempt::proven_unrun);
+    if (set(request).effect == Effect::safe || first == request.attempts.end()) return true;
+    const auto group = set(request).group;
+    return now_ < repeat_until(request) &&
+           (group == RepeatGroup::all || (group == RepeatGroup::zone && first->zone == engine.entry.zone) ||
+            (group == RepeatGroup::cell && first->cell == engine.entry.cell));
   }
 
   bool in_turn(const Request& request) const {
@@ -461,7 +463,8 @@
     }
     if (!request.attempts.empty()) further_.push_back(now_);
     if (s_.grants || s_.priorities) put(Terms{request.asked.request, grant(request), priority(request)});
-    put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly});
+    put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly,
+             repeat_until(request)});
     engine.turn_left -= cold_work(request);
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -187,7 +187,8 @@
   const auto& request = requests_.at(ready.id.request);
   const auto member = members_.find(attempt->engine);
   const bool usable = member != members_.end() && member->second.entry.state == EngineState::ready;
-  if (!usable || request.answered || now_ >= attempt->until)
+  const bool too_late = attempt->leave_by != Time::zero() && now_ >= attempt->leave_by;
+  if (!usable || request.answered || now_ >= attempt->until || too_late)
     return abandon(ready.id, *attempt, usable && !request.answered);
   attempt->stage = Stage::out;
   attempt->priority = request.priority;
@@ -327,6 +328,7 @@
   attempt.engine = send.engine;
   attempt.begun = now_;
   attempt.until = std::min(send.until == Time::zero() ? request->deadline : send.until, request->deadline);
+  attempt.leave_by = send.leave_by;
   request->attempts.push_back(attempt);
   if (request->answered || attempt.until <= now_) return conclude(id, *request, Result::moot, nullptr);
   wheel_.arm(attempt.until, {Alarm::Kind::attempt, id});
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -38,7 +38,7 @@
   struct Attempt {
     EngineId engine = 0;
     Stage stage = Stage::waiting;
-    Time begun{}, until{};
+    Time begun{}, until{}, leave_by{};  // leave_by: 0 for none
     bool timed_out = false;
     std::uint8_t priority = 1;
   };
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -75,6 +75,10 @@
     in.erase(0, end + 1);
     return out;
   }
+  bool waiting() {  // bytes have come that were not read yet
+    char byte = 0;
+    return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
   bool ended() {
     while (more()) in.clear();
     return true;
@@ -292,6 +296,56 @@
   Server server_;
 };
 
+// A listener that lets no connection come up before open(): its queue is full, so the system drops what
+// comes.
+class LateListener {
+ public:
+  LateListener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(fd_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(fd_.get(), 0) != 0)
+      throw std::runtime_error("cannot listen");
+    address_ = net::local_address(fd_.get());
+    filler_.emplace(Socket::to(address_));
+  }
+  [[nodiscard]] const std::string& address() const { return address_; }
+  // Once somebody else dials it.
+  void wait_until_dialled() {
+    const auto port = net::parse_address(address_).value().sin_port;
+    char remote[32];
+    std::snprintf(remote, sizeof remote, ":%04X 02 ", ntohs(port));  // in the state "SYN sent"
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (std::chrono::steady_clock::now() < end) {
+      std::ifstream in("/proc/net/tcp");
+      for (std::string line; std::getline(in, line);) {
+        if (line.find(remote) != std::string::npos) return;
+      }
+      std::this_thread::yield();
+    }
+    throw std::runtime_error("nobody dials");
+  }
+  // Lets them come up, once the system tries again: the first of them.
+  Socket open() {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    for (int taken = 0; std::chrono::steady_clock::now() < end;) {
+      const int fd = ::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0) {
+        std::this_thread::yield();
+        continue;
+      }
+      Socket socket(fd);
+      if (++taken == 2) return socket;  // the first was the filler's
+    }
+    throw std::runtime_error("no connection came up");
+  }
+
+ private:
+  net::Fd fd_;
+  std::string address_;
+  std::optional<Socket> filler_;
+};
+
 inline json server(const std::string& id, const std::string& address, const char* state = "in_service") {
   return {{"id", id},  {"addr", address}, {"zone", "dc1"}, {"kind", "std-8"},
           {"cell", 0}, {"state", state},  {"weight", 1},   {"started_ms", 0}};
@@ -406,8 +460,9 @@
 // A broker that serves, with its change log.
 class Broker {
  public:
+  // `adjust` may change the configuration before the program reads it.
   explicit Broker(const std::vector<std::pair<std::string, std::string>>& engines, const json& fronts = {},
-                  rlim_t files = 0) {
+                  rlim_t files = 0, const std::function<void(json&)>& adjust = {}) {
     json all = json::array();
     for (const auto& [id, at] : engines) all.push_back(server(id, at));
     changes.push(std::move(all), true);
@@ -418,6 +473,7 @@
               {"changelog", changes.address()},
               {"known", changes.known()},
               {"settings", settings()}};
+    if (adjust) adjust(config);
     std::vector<std::string> arguments{"serve", "--config", files_.emplace_back(temporary(config.dump()))};
     if (!fronts.is_null()) {
       arguments.emplace_back("--fronts");
