Bound what all gateways together send to engines not heard of past the crowd limit

Logs of n1: 'pool 5.80 level 3.26 pace 2.02; ... held 0', levels of 1.65 to 3.26 threads a core from second 10 to the end, with nothing held anywhere: the fleet worked past its peak.

Cause: Choice::room() (src/choice.cpp) lets a gateway send one query to each engine it has not heard of for 1.5 s, even past the crowd limit. A broker of 300 hears of few of some 30 engines in that time, so for all of them together the limit was none. Such queries now stay within half of the gateway's share of the pool: a thread a core from all gateways.

Ruled out: resets, silence, refused or late connections (0 of each in the 'engines:' lines of all 288 brokers), health (no engine rested), held queries (none).

Test: Crowd.WhatManyGatewaysSendToEnginesNotHeardOfDoesNotFillThem, fails without the change; that one gateway still hears of each engine is kept by the test beside it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,24 +34,24 @@
 constexpr double kRateGrowth = 1.3;      // times the usual rate that a period counts for at most
 
 // Engine choice.
-constexpr double kPassCrowd = 1.5;  // threads a core, all gateways: passing the pool stops here
-constexpr double kTopCrowd = 2.2;   // threads a core, all gateways: even the pool's share is held back
-constexpr double kFewQueries = 4;   // of the widest class: a pool for fewer can't keep the ranks by budgets;
+constexpr double kPassCrowd = 1.5;    // threads a core, all gateways: passing the pool stops here
+constexpr double kTopCrowd = 2.2;     // threads a core, all gateways: even the pool's share is held back
+constexpr double kUnheardPart = 0.5;  // of the pool, for queries past that to engines long not heard of
+constexpr double kFewQueries = 4;  // of the widest class: a pool for fewer can't keep the ranks by budgets;
 constexpr double kLaterRanks = 0.7;
 constexpr double kJamPace = 1.5;                    // pace that tells the fleet is past its peak
 constexpr double kLeastEase = 0.5;                  // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
-constexpr double kUsualSpeed = 1.5;  // answer time against the usual: up to here an engine is at usual speed
-constexpr double kSlow = 2.0;        // times slower than the fleet: what is less is chance
-constexpr Time kSlowLook = 4s;       // without an answer of a slow engine, it gets another chance
-constexpr double kMostSlow = 6.0;    // times slower than the fleet that an engine counts for at most
-constexpr double kPaceStep = 0.1;    // weight of one answer in an engine's pace
-constexpr double kLevelStep = 0.1;   // weight of one report in the fleet's level, threads a core
-constexpr double kFleetStep = 0.04;  // weight of one answer in the fleet's pace
-constexpr double kOwnPart = 0.25;    // of an engine's load as judged: own threads times gateways
-constexpr double kFarZone = 20;      // threads a core that another zone must be emptier by, for a price of 1
-constexpr double kSameLoad =
-    6.0;  // threads a core that others may be fuller by than one that loads the group
+constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
+constexpr double kSlow = 2.0;         // times slower than the fleet: what is less is chance
+constexpr Time kSlowLook = 4s;        // without an answer of a slow engine, it gets another chance
+constexpr double kMostSlow = 6.0;     // times slower than the fleet that an engine counts for at most
+constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
+constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
+constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
+constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
+constexpr double kFarZone = 20;       // threads a core that another zone must be emptier by, for a price of 1
+constexpr double kSameLoad = 6.0;     // threads a core that one loading the group counts as fuller by
 constexpr double kSameAgain = 3.0;    // threads a core that others may be fuller by for another attempt
 constexpr std::size_t kHomes = 2;     // engines that all loads of one group share, at the least;
 constexpr std::size_t kHomePart = 5;  // and one in so many of a large fleet
@@ -79,8 +79,7 @@
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
 constexpr double kPeerStep = 0.1;      // weight of one message: a level must follow a restart within seconds
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
-constexpr double kScatter =
-    1.5;  // variance of the queries told of an engine, over their mean, if all is well
+constexpr double kScatter = 1.5;       // variance over mean of the queries told of an engine, if all is well
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
 constexpr double kLeastBlur = 0.01;     // threads a core that an engine may seem fuller by; and at most,
 constexpr double kBlur = 4.0;           // where reports mislead
@@ -849,10 +848,11 @@
     const double size = cores(engine) * warmth(engine, 0s);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
-    // Held back everywhere, a gateway would go by what it heard last: where only answers tell of engines, one
-    // not heard of for as long as a report counts is asked a query.
+    // Where only answers tell of engines, a gateway held back goes on asking those it has long not heard of:
+    // a query each, of the little that all gateways may send so.
     if (all && *all + 0.5 * threads > kTopCrowd * ease * size)
-      return level_ < 0 && engine.threads == 0 && secs(now_ - engine.reported) > kReportLife;
+      return level_ < 0 && engine.threads == 0 && secs(now_ - engine.reported) > kReportLife &&
+             running() + threads <= kUnheardPart * pool_;
     // A slow engine is still sent something by each gateway: its pace would never be seen to change.
     const double swift = size / slowness(engine);
     if (own <= kThreadsPerCore * swift / s_.gateways || engine.threads == 0) return true;
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -783,6 +783,39 @@
   EXPECT_EQ(d.sends.size() - before, 2U) << "one to each engine";
 }
 
+// One query to each engine not heard of does no harm from one gateway, and fills all engines from hundreds.
+TEST(Crowd, WhatManyGatewaysSendToEnginesNotHeardOfDoesNotFillThem) {
+  Settings s = plain_settings();
+  s.gateways = 10;
+  s.load_fields = {LoadField::inflight};
+  Drive d(s);
+  std::vector<EngineEntry> engines;
+  for (EngineId id = 1; id <= 10; ++id) engines.push_back(engine(id));
+  d.list(engines);
+  d.at(d.now, {Wake{}});
+  RequestId id = 0;
+  for (; id < 200 && d.answers(id) == 0; ++id) {
+    d.ask(id + 1, 0);
+    if (d.sends_of(id + 1) == 0) break;
+    Outcome o;
+    o.request = id + 1;
+    o.engine = d.sends.back().engine;
+    o.result = Result::served;
+    o.latency = 100ms;
+    o.closed = true;
+    o.load = {60};
+    d.at(d.now, {o});
+  }
+  ASSERT_LT(id, 200U) << "the engines are full by their reports";
+  d.until(d.now + 1600ms);
+  ASSERT_EQ(d.gateway.view(0).running, 0U);
+  const auto before = d.sends.size();
+  for (RequestId n = 1000; n < 1020; ++n) d.ask(n, 0);
+  EXPECT_GE(d.sends.size() - before, 1U);
+  const double sent = static_cast<double>(d.sends.size() - before) * s.gateways;
+  EXPECT_LE(sent, 1.0 * 10 * s.kinds[0].cores) << "by all gateways alike, at most a thread a core";
+}
+
 TEST(Tenants, AFloodIsRefusedOnceQueriesWaitAndOthersAreNot) {
   Settings s = plain_settings();
   s.over_share_worth = 0.05;
