End gracefully: half-close, drain, and send nothing on that comes while the program ends

Seen (by reading, then by test): a request read in phase 'stopping' went to the module and on to an engine, and the program ended without its answer; the process's exit closed all client connections over whatever was unread, which resets them and takes away answers that are still on their way.

Cause: Reducer::on(Arrived) (src/core/reducer.cpp) looked at no phase; nothing in src/platform/front.cpp ended connections before the process did; Front::run(Answer) closed a dismissed connection at once, over the rest of an endless line; and a timer armed at the accept cut short the time to read a last word. kMostDrain (lifecycle.hpp) was 3.3 s, though the kill comes at the longest deadline plus 0.7 s where that is under 3 s.

Now what comes in 'stopping' is refused; all clients are told by a half-close, what they still send is read and dropped, and the program ends when they have gone or after 300 ms, as before.

Ruled out: TCP_NODELAY (set on accepted and on dialled sockets).

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -132,6 +132,7 @@
   if (mysql_) mysql_->tick(now);
   if (directory_) directory_->tick(now);
   changelog_.tick(now);
+  if (reducer_.lifecycle().closed()) front_->stop();
   post(core::Tick{unwritten()});
 }
 
--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -1,6 +1,7 @@
 // The phases of the program, from start to exit.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 namespace bellstair::core {
@@ -32,12 +33,17 @@
  public:
   // After the request to stop, connections and requests go on coming for 0.7 s at the most.
   static constexpr Time kLinger = std::chrono::milliseconds(800);
-  // The platform kills the program 3.7 s after the request to stop at the earliest. What is not answered by
-  // then is given up in time for clients to hear of it, and to ask elsewhere.
-  static constexpr Time kMostDrain = std::chrono::milliseconds(3300);
+  // The platform kills the program so long after the request to stop at the earliest: the longest deadline of
+  // any class, or this where that is longer, and 0.7 s. What is not answered 0.4 s before is given up, in
+  // time for clients to hear of it and to ask elsewhere.
+  static constexpr Time kLongestDeadline = std::chrono::seconds(3);
+  static constexpr Time kToSpare = std::chrono::milliseconds(300);
   // What is left to write, and what engines still have to be told, gets this long.
   static constexpr Time kFlush = std::chrono::milliseconds(300);
 
+  explicit Lifecycle(Time longest_deadline = kLongestDeadline)
+      : most_drain_(std::min(longest_deadline, kLongestDeadline) + kToSpare) {}
+
   void listening() { listening_ = true; }
   void fleet_known() { fleet_known_ = true; }
   void stop(Time now) {
@@ -59,14 +65,16 @@
 
   [[nodiscard]] Phase phase() const { return phase_; }
   [[nodiscard]] bool overdue(Time now) const {
-    return phase_ == Phase::draining && now >= since_ + kMostDrain;
+    return phase_ == Phase::draining && now >= since_ + most_drain_;
   }
   [[nodiscard]] bool green() const { return phase_ == Phase::serving; }
+  // Too late for another request to be sent on: the program would end before its answer came.
+  [[nodiscard]] bool closed() const { return phase_ >= Phase::stopping; }
 
  private:
   Phase phase_ = Phase::starting;
   bool listening_ = false, fleet_known_ = false;
-  Time since_{};
+  Time since_{}, most_drain_;
 };
 
 }  // namespace bellstair::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -43,10 +43,19 @@
   }
   return timed_out ? Result::timed_out : Result::called_off;
 }
+
+Time longest_deadline(const heronwell::Settings& settings) {
+  Time out{};
+  for (const auto& set : settings.classes) out = std::max(out, set.give_up);
+  return out;
+}
 }  // namespace
 
 Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes)
-    : settings_(settings), gateway_(std::move(settings), seed), most_bytes_(most_bytes) {}
+    : settings_(settings),
+      gateway_(std::move(settings), seed),
+      lifecycle_(longest_deadline(settings_)),
+      most_bytes_(most_bytes) {}
 
 void Reducer::reduce(Time now, Event event, Effects& out) {
   now_ = std::max(now_, now);
@@ -141,7 +150,8 @@
   if (asked.barred) return put(Answer{asked.client, AnswerKind::refused, *asked.barred, {}, {}});
   forget_tickets();
   const auto bytes = weight(asked);
-  if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_) {
+  const bool full = settings_.max_open != 0 && owed_ >= settings_.max_open;
+  if (lifecycle_.closed() || full || held_bytes_ + bytes > most_bytes_) {
     return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
   }
   // Engines know a query by its ticket: another under the same would get the first one's answer. Nor does a
@@ -285,19 +295,20 @@
   for (const auto& [id, request] : requests_) {
     if (!request.answered) open.push_back(id);
   }
-  for (const auto id : open) {
-    auto& request = requests_.at(id);
-    const auto& set = settings_.classes[request.asked.cls];
-    const bool harmless =
-        request.attempts.empty() || set.effect == heronwell::Effect::safe ||
-        (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all);
-    const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
-    harmless ? answer(request, AnswerKind::refused, pause, {}) : answer(request, AnswerKind::failed, {}, {});
-    for (std::size_t n = 0; n < request.attempts.size(); ++n)
-      abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
-    news_.push_back(heronwell::ClientLeft{id});
-    forget_if_done(id);
-  }
+  for (const auto id : open) give_up(id);
+}
+
+void Reducer::give_up(RequestId id) {
+  auto& request = requests_.at(id);
+  const auto& set = settings_.classes[request.asked.cls];
+  const bool harmless = request.attempts.empty() || set.effect == heronwell::Effect::safe ||
+                        (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all);
+  const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
+  harmless ? answer(request, AnswerKind::refused, pause, {}) : answer(request, AnswerKind::failed, {}, {});
+  for (std::size_t n = 0; n < request.attempts.size(); ++n)
+    abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
+  news_.push_back(heronwell::ClientLeft{id});
+  forget_if_done(id);
 }
 
 void Reducer::on(const Alarm& alarm) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -85,6 +85,7 @@
 
   void consult();
   void give_up_all();
+  void give_up(RequestId id);
   void answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -19,7 +19,8 @@
       handles_(handles),
       green_(std::move(green)),
       post_(std::move(post)),
-      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
+      address_(net::local_address(listening.get())),
+      listener_(std::in_place, loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
 
 // A connection without an open request may be closed at any time: first those that never asked for anything.
 bool Front::make_room() {
@@ -60,12 +61,12 @@
           [this, &connection] {
             // It may only have closed its side: what it has asked for is still owed.
             connection.ended = true;
-            if (connection.open.empty() && connection.stream.unwritten() == 0) close(connection);
+            if (connection.open.empty() && connection.stream.unwritten() == 0) return close(connection);
           },
       .closed = [this, &connection] { close(connection); },
       .drained =
           [this, &connection] {
-            if (connection.ended && !connection.leaving && connection.open.empty()) return close(connection);
+            if (connection.ended && connection.open.empty()) return close(connection);
             rank(connection);
           },
   });
@@ -84,7 +85,8 @@
     if (found == connections_.end()) return;
     auto& connection = *found->second;
     connection.watched = false;
-    if (connection.leaving) return close(connection);
+    if (connection.leaving && now_ >= connection.since + kLinger) return close(connection);
+    if (connection.leaving) return watch(connection, connection.since + kLinger);
     if (connection.spoken && connection.in.empty()) return;
     if (now_ < connection.since + kWhole) return watch(connection, connection.since + kWhole);
     dismiss(connection, "no whole request came");
@@ -107,18 +109,30 @@
 }
 
 void Front::dismiss(Connection& connection, std::string_view why) {
-  // What is open on it was taken, and is answered first.
-  if (connection.open.empty()) connection.leaving = true;
   connection.stream.write(rpc_error(std::nullopt, -32600, why));
   partial_ -= std::exchange(connection.in, {}).size();
-  connection.ended = true;
-  if (!connection.leaving) return;
+  connection.dismissed = true;
+  if (connection.open.empty()) part(connection);  // what is open on it was taken, and is answered first
+}
+
+void Front::part(Connection& connection) {
+  connection.leaving = true;
+  partial_ -= std::exchange(connection.in, {}).size();
   connection.stream.finish();
   rank(connection);
+  connection.since = now_;
   connection.watched = false;
   watch(connection, now_ + kLinger);
 }
 
+void Front::stop() {
+  if (std::exchange(stopped_, true)) return;
+  listener_.reset();
+  for (const auto& [serial, connection] : connections_) {
+    if (!connection->leaving) part(*connection);
+  }
+}
+
 void Front::strike(Connection& connection, const std::string& reply) {
   connection.stream.write(reply);
   if (++connection.strikes == kMostStrikes) dismiss(connection, "too many lines of no use");
@@ -126,7 +140,7 @@
 
 void Front::take(Connection& connection, std::string_view bytes) {
   // Lines that have come whole are read in place; only a line cut in two is kept.
-  while (connection.stream.open() && !connection.ended) {
+  while (connection.stream.open() && !connection.dismissed && !connection.leaving) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
     if (connection.in.empty()) {
@@ -138,7 +152,7 @@
     }
     bytes.remove_prefix(end + 1);
   }
-  if (!connection.stream.open() || connection.ended) return;
+  if (!connection.stream.open() || connection.dismissed || connection.leaving) return;
   rank(connection);
   if (bytes.empty()) return;
   if (connection.in.size() + bytes.size() > kMostLine || partial_ + bytes.size() > kMostPartial)
@@ -222,8 +236,10 @@
       connection.stream.write(rpc_error(open.id, kRpcTimedOut, "timed out", answer.pause));
       break;
   }
-  if (connection.ended && connection.open.empty() && connection.stream.unwritten() == 0) {
+  if (connection.open.empty() && connection.ended && connection.stream.unwritten() == 0) {
     close(connection);
+  } else if (connection.open.empty() && connection.dismissed) {
+    part(connection);
   } else {
     rank(connection);
   }
@@ -231,6 +247,7 @@
 }
 
 bool Front::unwritten() const {
+  if (stopped_) return !connections_.empty();
   return std::ranges::any_of(connections_, [](const auto& c) { return c.second->stream.unwritten() > 0; });
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,10 +27,14 @@
   Front(ev::loop_ref loop, net::Fd listening, const config::Names& names, std::size_t most_connections,
         std::uint64_t& handles, std::function<bool()> green, Post post);
 
+  [[nodiscard]] const std::string& address() const { return address_; }
   // False: the client is not one of this front's.
   bool run(const core::Answer& answer);
   void settle() { gone_.clear(); }
   void tick(core::Time now);
+  // Takes nothing more: every client is told so by the end of what is written to it, and what it still sends
+  // is read and dropped. unwritten() until all have gone.
+  void stop();
   [[nodiscard]] bool unwritten() const;
 
  private:
@@ -50,7 +55,8 @@
     bool ended = false;         // the client writes no more
     bool spoken = false;        // a whole line has come
     bool asked = false;         // a request was taken
-    bool leaving = false;       // has its last word; what comes is not read
+    bool dismissed = false;     // what comes is dropped
+    bool leaving = false;       // and nothing more is written
     bool watched = false;       // a timer is armed for it
     unsigned strikes = 0;
     core::Time since{};  // it was accepted, the line that is not whole began, or its last word was said
@@ -69,20 +75,24 @@
   void take_line(Connection& connection, std::string_view line);
   void cancel(Connection& connection, const RpcCancel& message);
   void close(Connection& connection);
-  // The client's last word from here; closed once it has had time to read that.
+  // The client's last word from here.
   void dismiss(Connection& connection, std::string_view why);
+  // Nothing more is written once all has left; closed when the client does so too, or has had time to read.
+  void part(Connection& connection);
   void strike(Connection& connection, const std::string& reply);
   void watch(Connection& connection, core::Time until);
   void rank(Connection& connection);
   bool make_room();
 
+  bool stopped_ = false;
   ev::loop_ref loop_;
   const config::Names& names_;
   std::size_t most_connections_;
   std::uint64_t& handles_;
   std::function<bool()> green_;
   Post post_;
-  net::Listener listener_;
+  std::string address_;  // where it listens
+  std::optional<net::Listener> listener_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::Client, Open> open_;
   std::vector<std::unique_ptr<Connection>> gone_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -39,7 +39,7 @@
 
 class Driven {
  public:
-  Driven() {
+  explicit Driven(heronwell::Settings with = settings()) : reducer(std::move(with), 1) {
     at(0ms, Listening{});
     at(0ms, FleetChange{true, {member(7)}, true});
     at(0ms, Tick{});
@@ -76,7 +76,7 @@
     at(10ms, ended);
   }
   Time now = 1'700'000'000s;
-  Reducer reducer{settings(), 1};
+  Reducer reducer;
   Effects effects;
 };
 
@@ -244,24 +244,29 @@
   EXPECT_EQ(d.all<Exit>().size(), 1U);
 }
 
-// The platform kills a stopping program after 3.7 s: what it still holds then would get no answer at all.
+// The platform kills a stopping program 0.7 s after the longest deadline, or after 3.7 s: what it still holds
+// then would get no answer at all.
 TEST(Reducer, WhatCannotEndBeforeTheProgramDoesIsGivenUpInTime) {
-  Driven d;
-  d.ask(42, 0, 20s);
-  d.ask(43, 1, 20s);  // may not be repeated
-  for (const auto& start : d.all<StartAttempt>()) d.at(1ms, AttemptReady{start.id});
-  ASSERT_EQ(d.all<Transmit>().size(), 2U);
-  d.at(0ms, StopAsked{});
-  d.pass(3s);
-  EXPECT_TRUE(d.all<Answer>().empty());
-  d.pass(400ms);
-  const auto answers = d.all<Answer>();
-  ASSERT_EQ(answers.size(), 2U);
-  for (const auto& answer : answers)
-    EXPECT_EQ(answer.kind, answer.client == 42 ? AnswerKind::refused : AnswerKind::failed);
-  EXPECT_EQ(d.all<Abandon>().size(), 2U);
-  d.pass(300ms);
-  EXPECT_EQ(d.all<Exit>().size(), 1U);
+  for (const auto& [give_up, kept] : {std::pair<Time, Time>{20s, 3s}, {2s, 2s}}) {
+    auto with = settings();
+    for (auto& set : with.classes) set.give_up = give_up;
+    Driven d(with);
+    d.ask(42, 0, 20s);
+    d.ask(43, 1, 20s);  // may not be repeated
+    for (const auto& start : d.all<StartAttempt>()) d.at(1ms, AttemptReady{start.id});
+    ASSERT_EQ(d.all<Transmit>().size(), 2U);
+    d.at(0ms, StopAsked{});
+    d.pass(kept);
+    EXPECT_TRUE(d.all<Answer>().empty());
+    d.pass(400ms);
+    const auto answers = d.all<Answer>();
+    ASSERT_EQ(answers.size(), 2U);
+    for (const auto& answer : answers)
+      EXPECT_EQ(answer.kind, answer.client == 42 ? AnswerKind::refused : AnswerKind::failed);
+    EXPECT_EQ(d.all<Abandon>().size(), 2U);
+    d.pass(300ms);
+    EXPECT_EQ(d.all<Exit>().size(), 1U);
+  }
 }
 
 // An engine that says every 250 ms that a query goes on was rested as silent for up to 8 s, a fifth of the
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "harness.hpp"
+#include "platform/front.hpp"
 
 namespace bellstair::test {
 namespace {
@@ -36,5 +37,89 @@
   EXPECT_FALSE(late.waiting());
 }
 
+// ---- the end of the program
+
+// While engines are still being told of what was given up, a client that rested until now asks for more.
+TEST(Crossings, ARequestThatComesWhileTheProgramEndsIsNotSentOn) {
+  std::promise<void> over;
+  HttpEngine engine([&, wait = over.get_future().share()](const Call& call) {
+    if (call.method == "DELETE") wait.wait();
+    return call.method == "POST" && call.headers.at("X-Queue") == "lookup" ? rows("x\ty\tz\n") : http(202);
+  });
+  const std::shared_ptr<void> freed(nullptr, [&](void*) { over.set_value(); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client rests(broker.address), leaves(broker.address);
+  rests.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(rests.answer()), "x\ty\tz\n");
+  leaves.ask(1, "once", kSelect, {{"txn", "00000000000000aa"}});
+  engine.calls.wait([](const Call& c) { return c.method == "GET"; });
+  leaves.cancel(1);
+  engine.calls.wait([](const Call& c) { return c.method == "DELETE"; });
+  broker.program->signal(SIGTERM);
+  broker.program->said("phase: stopping");
+  rests.ask(2, "lookup", kSelect);
+  while (rests.socket.more()) continue;  // refused, or the connection's end
+  EXPECT_EQ(rests.socket.in.find("result"), std::string::npos);
+  EXPECT_EQ(broker.program->wait(), 0);
+  EXPECT_EQ(engine.posts(), 2U);
+}
+
+// The front by itself, on a loop and a clock of the test's own.
+class Fronted {
+ public:
+  Fronted()
+      : front(
+            loop, net::listen_tcp(net::parse_address("127.0.0.1:0").value()), names, 8, handles,
+            [] { return true; }, [this](core::Event event) { events.push_back(std::move(event)); }) {
+    names.classes["lookup"] = 0;
+    names.tenants["acme"] = 0;
+    names.class_names = {"lookup"};
+    turn_.set<Fronted, &Fronted::on_turn>(this);
+    turn_.start(0.001, 0.001);  // keeps the loop turning while nothing comes
+    front.tick(now);
+  }
+  void on_turn(ev::timer&, int) {}
+  bool until(const std::function<bool()>& reached) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!reached() && std::chrono::steady_clock::now() < end) {
+      loop.run(ev::ONCE);
+      front.settle();
+    }
+    return reached();
+  }
+  template <class T>
+  [[nodiscard]] std::size_t count() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        events, [](const core::Event& event) { return std::holds_alternative<T>(event); }));
+  }
+  ev::dynamic_loop loop;
+  ev::timer turn_{loop};
+  config::Names names;
+  std::uint64_t handles = 0;
+  core::Time now{1000s};
+  std::vector<core::Event> events;
+  platform::Front front;
+};
+
+// A close over bytes that were not read resets the connection, and takes with it what its client has not
+// read.
+TEST(Crossings, ClientsAreToldOfTheEndFirstAndWhatTheyStillSendIsReadAndDropped) {
+  Fronted f;
+  Client client(f.front.address());
+  client.ask(1, "lookup", kSelect);
+  ASSERT_TRUE(f.until([&] { return f.count<core::Arrived>() == 1; }));
+  f.front.run(core::Answer{1, core::AnswerKind::served, {}, "x\ty\tz\n", {}});
+  f.front.stop();
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+  EXPECT_FALSE(client.socket.more());  // no more is written
+  client.ask(2, "lookup", kSelect);
+  for (int i = 0; i < 20; ++i) f.loop.run(ev::ONCE);
+  EXPECT_EQ(f.count<core::Arrived>(), 1U);
+  EXPECT_FALSE(client.socket.broken());
+  EXPECT_TRUE(f.front.unwritten());
+  ::shutdown(client.socket.fd(), SHUT_WR);
+  EXPECT_TRUE(f.until([&] { return !f.front.unwritten(); }));
+}
+
 }  // namespace
 }  // namespace bellstair::test
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -79,6 +79,11 @@
     char byte = 0;
     return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
   }
+  bool broken() {  // reset by its peer
+    int error = 0;
+    socklen_t size = sizeof error;
+    return ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+  }
   bool ended() {
     while (more()) in.clear();
     return true;
@@ -520,6 +525,9 @@
     params.update(more);
     socket.send(json{{"jsonrpc", "2.0"}, {"id", id}, {"method", cls}, {"params", params}}.dump() + "\n");
   }
+  void cancel(int id) {
+    socket.send(json{{"jsonrpc", "2.0"}, {"method", "cancel"}, {"params", {{"id", id}}}}.dump() + "\n");
+  }
   json answer() { return json::parse(socket.line()); }
   bool green() {
     socket.send(R"({"jsonrpc":"2.0","id":999,"method":"health"})"
