Begin nothing for a client that has ended its connection

Seen (by reading, then by test): a client's EOF with requests open left them as they were, so that held requests were sent and failed ones sent again for clients that had gone.

Cause: the .ended handler in Front::accept() (src/platform/front.cpp) only noted the end. A reset or a cancel was passed on as Cancelled. A client may also have closed its side alone, so what runs is finished and answered; what has not begun is given up and answered at once, and nothing begins again.

Ruled out: reading is never paused, so an end is heard while a request waits.

--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -75,6 +75,9 @@
 struct Cancelled {  // the client has stopped waiting
   Client client = 0;
 };
+struct ClientEnded {  // the client writes no more: it may be gone, or wait for what it has asked for
+  Client client = 0;
+};
 struct AttemptReady {  // a connection is free for it; nothing has been written
   AttemptId id;
 };
@@ -110,9 +113,9 @@
   bool unwritten = false;  // a front or engine driver still has something to write
 };
 
-using Event =
-    std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptHeard,
-                 AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead, Tick>;
+using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, ClientEnded, AttemptReady,
+                           AttemptHeard, AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked,
+                           ConfigurationRead, Tick>;
 
 // ---- effects
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -190,6 +190,20 @@
   forget_if_done(id);
 }
 
+// What runs for it is finished, in case it still reads; nothing begins for it any more.
+void Reducer::on(const ClientEnded& ended) {
+  const auto found = by_client_.find(ended.client);
+  if (found == by_client_.end()) return;
+  requests_.at(found->second).client_ended = true;
+  give_up_unless_it_runs(found->second);
+}
+
+void Reducer::give_up_unless_it_runs(RequestId id) {
+  const auto runs = [](const Attempt& attempt) { return attempt.stage == Stage::out; };
+  const auto& request = requests_.at(id);
+  if (!request.answered && std::ranges::none_of(request.attempts, runs)) give_up(id);
+}
+
 // The engine's state is looked at once more here: the list may have changed while a connection was made.
 void Reducer::on(const AttemptReady& ready) {
   auto* attempt = find(ready.id);
@@ -243,6 +257,7 @@
   }
   outcome.closed = request.answered;
   news_.push_back(std::move(outcome));
+  if (request.client_ended && !request.answered) return give_up_unless_it_runs(id.request);
   forget_if_done(id.request);
 }
 
@@ -341,7 +356,8 @@
   attempt.until = std::min(send.until == Time::zero() ? request->deadline : send.until, request->deadline);
   attempt.leave_by = send.leave_by;
   request->attempts.push_back(attempt);
-  if (request->answered || attempt.until <= now_) return conclude(id, *request, Result::moot, nullptr);
+  if (request->answered || request->client_ended || attempt.until <= now_)
+    return conclude(id, *request, Result::moot, nullptr);
   wheel_.arm(attempt.until, {Alarm::Kind::attempt, id});
   put(StartAttempt{id, send.engine});
 }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -46,6 +46,7 @@
     Submission asked;
     Time deadline{};
     bool answered = false;
+    bool client_ended = false;  // no further attempt is made for it
     double memory_mb = 0;
     std::uint8_t priority = 1;
     std::vector<Attempt> attempts;
@@ -61,6 +62,7 @@
   void on(const FleetQuiet&);
   void on(Arrived& arrived);
   void on(const Cancelled& cancelled);
+  void on(const ClientEnded& ended);
   void on(const AttemptReady& ready);
   void on(const AttemptHeard& heard);
   void on(AttemptEnded& ended);
@@ -86,6 +88,7 @@
   void consult();
   void give_up_all();
   void give_up(RequestId id);
+  void give_up_unless_it_runs(RequestId id);
   void answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -62,6 +62,7 @@
             // It may only have closed its side: what it has asked for is still owed.
             connection.ended = true;
             if (connection.open.empty() && connection.stream.unwritten() == 0) return close(connection);
+            for (const auto& [id, client] : connection.open) post_(core::ClientEnded{client});
           },
       .closed = [this, &connection] { close(connection); },
       .drained =
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -121,5 +121,44 @@
   EXPECT_TRUE(f.until([&] { return !f.front.unwritten(); }));
 }
 
+// ---- clients that are gone
+
+// One that has closed its side may still read: it is told, but nothing begins for it any more.
+TEST(Crossings, NothingBeginsForAClientThatHasEndedWhileItsRequestWaits) {
+  std::atomic<bool> done = false;
+  HttpEngine engine([&](const Call&) { return done ? rows("x\ty\tz\n") : http(202); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client first(broker.address), second(broker.address);
+  const json key{{"item", "7f3a9c21e0b4d655"}};
+  first.ask(1, "load", kSelect, key);
+  engine.calls.wait([](const Call& c) { return c.method == "GET"; });
+  auto held = key;
+  held["txn"] = "00000000000000aa";
+  second.ask(1, "load", kSelect, held);  // waits for the first one's end
+  ::shutdown(second.socket.fd(), SHUT_WR);
+  EXPECT_TRUE(first.green());  // by now the end has been heard of
+  done = true;
+  EXPECT_EQ(body(first.answer()), "x\ty\tz\n");
+  EXPECT_EQ(second.answer()["error"]["code"], -32066);
+  EXPECT_EQ(engine.posts(), 1U);
+}
+
+TEST(Crossings, NothingBeginsForAClientThatHasEndedWhenAnAttemptFails) {
+  std::promise<void> fail;
+  HttpEngine engine([&, wait = fail.get_future().share()](const Call&) {
+    wait.wait();
+    return http(500);
+  });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address), other(broker.address);
+  client.ask(1, "lookup", kSelect);
+  engine.calls.wait(posts);
+  ::shutdown(client.socket.fd(), SHUT_WR);
+  EXPECT_TRUE(other.green());  // by now the end has been heard of
+  fail.set_value();
+  EXPECT_TRUE(client.answer().contains("error"));
+  EXPECT_EQ(engine.posts(), 1U);
+}
+
 }  // namespace
 }  // namespace bellstair::test
