Be ready after 3 s though no engine is known

Seen by reading: with a start list that names no ready engine and discovery down, Lifecycle::advance() (src/core/lifecycle.hpp) stayed in 'starting' for good, as Reducer::on(FleetQuiet) tells it only of ready engines. Clients are refused then, and told when to come again.

Test: Lifecycle.IsReadyInTimeThoughNoEngineIsKnown (new limit; never ready before).

--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace bellstair::core {
 
@@ -26,9 +27,9 @@
   return "?";
 }
 
-// starting -> serving once the fronts listen and an engine is known; any of both -> draining on a request to
-// stop; draining -> stopping once clients have had time to turn away and nothing taken is unanswered;
-// stopping -> exited once all that is left has been written.
+// starting -> serving once the fronts listen and an engine is known, or can't be had for long; any of both ->
+// draining on a request to stop; draining -> stopping once clients have had time to turn away and nothing
+// taken is unanswered; stopping -> exited once all that is left has been written.
 class Lifecycle {
  public:
   // After the request to stop, connections and requests go on coming for 0.7 s at the most.
@@ -38,6 +39,9 @@
   // time for clients to hear of it and to ask elsewhere.
   static constexpr Time kLongestDeadline = std::chrono::seconds(3);
   static constexpr Time kToSpare = std::chrono::milliseconds(300);
+  // Not to be ready turns clients away for good; with no engine known they are refused, and told when to
+  // come.
+  static constexpr Time kMostStart = std::chrono::seconds(3);
   // What is left to write, and what engines still have to be told, gets this long.
   static constexpr Time kFlush = std::chrono::milliseconds(300);
 
@@ -54,7 +58,9 @@
   // Moves on as far as what is unanswered (`owed`) and unwritten allows. True if the phase has changed.
   bool advance(Time now, bool owed, bool unwritten) {
     const Phase before = phase_;
-    if (phase_ == Phase::starting && listening_ && fleet_known_) phase_ = Phase::serving;
+    if (!begun_) begun_ = now;
+    const bool ready = listening_ && (fleet_known_ || now >= *begun_ + kMostStart);
+    if (phase_ == Phase::starting && ready) phase_ = Phase::serving;
     if (phase_ == Phase::draining && !owed && now >= since_ + kLinger) {
       phase_ = Phase::stopping;
       since_ = now;
@@ -74,6 +80,7 @@
  private:
   Phase phase_ = Phase::starting;
   bool listening_ = false, fleet_known_ = false;
+  std::optional<Time> begun_;
   Time since_{}, most_drain_;
 };
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -117,6 +117,21 @@
   EXPECT_EQ(life.phase(), Phase::exited);
 }
 
+// A program that is never ready serves nobody, though the change log may come back.
+TEST(Lifecycle, IsReadyInTimeThoughNoEngineIsKnown) {
+  Lifecycle life;
+  EXPECT_FALSE(life.advance(1s, false, false));
+  EXPECT_FALSE(life.advance(10s, false, false));  // no front listens
+  life.listening();
+  EXPECT_TRUE(life.advance(11s, false, false));
+  EXPECT_TRUE(life.green());
+  Lifecycle other;
+  other.listening();
+  other.advance(1s, false, false);
+  EXPECT_FALSE(other.advance(1s + Lifecycle::kMostStart - 1ms, false, false));
+  EXPECT_TRUE(other.advance(1s + Lifecycle::kMostStart, false, false));
+}
+
 TEST(Reducer, AServedAttemptGivesTheOneFinalAnswer) {
   Driven d;
   d.ask(42);
