Charge no tenant with requests that name none

Seen by reading: submission() (src/platform/jsonrpc.cpp) left the tenant at 0, so requests without 'team' used up the share of the first tenant in the settings. Where there are tenants such a request gets -32602 now.

Test: Platform.ARequestOfNoTenantIsNobodysWhereThereAreTenants; without the change the request is served.

--- a/src/platform/jsonrpc.cpp
+++ b/src/platform/jsonrpc.cpp
@@ -68,7 +68,8 @@
   const auto limit = number(params, "limit", kMostLimitMs);
   if (!limit) throw Bad{"limit is missing"};
   out.limit = core::Time(static_cast<std::int64_t>(*limit * 1e6));
-  if (const auto team = text(params, "team", false); !team.empty()) {
+  // Where there are tenants, nobody's share is used up by requests of no tenant.
+  if (const auto team = text(params, "team", !names.tenants.empty()); !team.empty()) {
     const auto found = names.tenants.find(team);
     if (found == names.tenants.end()) throw Bad{"team is in no settings"};
     out.tenant = found->second;
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -211,6 +211,16 @@
   EXPECT_EQ(body(good.answer()), "x\ty\tz\n");
 }
 
+// Taken for the first tenant's, it would use up the share of that.
+TEST(Platform, ARequestOfNoTenantIsNobodysWhereThereAreTenants) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect, {{"team", nullptr}});
+  EXPECT_EQ(client.answer()["error"]["code"], -32602);
+  EXPECT_EQ(engine.posts(), 0U);
+}
+
 // What is said to a client that still sends must not be reset away with what it sent.
 TEST(Platform, AnEndlessLineGetsAnErrorThatItsClientCanRead) {
   HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
