--- /dev/null
+++ b/tests/faults/clock_test.cpp
@@ -0,0 +1,112 @@
+// The program on a machine whose wall clock is stepped while it runs.
+#include <gtest/gtest.h>
+
+#include "faults.hpp"
+
+namespace bellstair::test {
+namespace {
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+const std::string kStatement = "UPDATE sales_17.orders SET a = 1";
+const json kOrdered{{"item", "7f3a9c21e0b4d655"}};
+// An engine runs a query until nobody has asked for it in so long.
+constexpr auto kUnaskedLife = 2s;
+
+SteadyTime steady_now() { return std::chrono::steady_clock::now(); }
+
+// Takes one statement, then falls silent: calls get no answer, and no further connection comes up.
+class PartitionedEngine {
+ public:
+  PartitionedEngine() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(listener_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+        ::listen(listener_.get(), 0) != 0)
+      throw std::runtime_error("cannot listen");
+    address_ = net::local_address(listener_.get());
+  }
+  [[nodiscard]] const std::string& address() const { return address_; }
+
+  // Returns when the first call for news has come, which is never answered.
+  void serve_until_asked_for_news() {
+    connection_.emplace(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    backlog_.emplace(Socket::to(address_));
+    read_call(*connection_);
+    connection_->send(http(202));
+    read_call(*connection_);
+    last_asked_ = steady_now();
+  }
+  [[nodiscard]] SteadyTime last_asked() const { return last_asked_; }
+  // Once the broker tries to connect again.
+  void wait_until_dialled() const { wait_for_pending_connection(address_); }
+
+ private:
+  net::Fd listener_;
+  std::string address_;
+  std::optional<Socket> connection_, backlog_;
+  SteadyTime last_asked_;
+};
+
+void make_loads_unsafe(json& config) { config["settings"]["classes"][1]["semantics"] = "unsafe"; }
+
+TEST(WallClock, AStepForwardDoesNotLetTheNextRequestOfAKeyOvertakeASilentAttempt) {
+  Faults faults;
+  PartitionedEngine silent;
+  std::promise<SteadyTime> next_sent;
+  HttpEngine other([&](const Call& call) {
+    if (call.method == "POST") next_sent.set_value(steady_now());
+    return rows("x\ty\tz\n");
+  });
+  Broker broker({{"s-00000001", silent.address()}}, {}, 0, make_loads_unsafe, faults.environment());
+  Client client(broker.address);
+  client.ask(1, "load", kStatement, kOrdered);
+  silent.serve_until_asked_for_news();
+  broker.changes.push({server("s-00000002", other.server.address())});
+  broker.changes.wait_until_told();
+  silent.wait_until_dialled();
+  faults.step_wall_clock(1h);
+  client.ask(2, "load", kStatement, kOrdered);
+  auto sent = next_sent.get_future();
+  ASSERT_EQ(sent.wait_for(kPatience), std::future_status::ready);
+  EXPECT_GE(sent.get() - silent.last_asked(), kUnaskedLife);
+}
+
+TEST(WallClock, AStepForwardFailsNoRequestThatHasTimeLeft) {
+  Faults faults;
+  std::atomic<bool> done = false;
+  HttpEngine engine([&](const Call&) { return done ? rows("x\ty\tz\n") : http(202); });
+  Broker broker({{"s-00000001", engine.server.address()}}, {}, 0, {}, faults.environment());
+  Client client(broker.address);
+  client.ask(1, "once", kStatement);
+  engine.calls.wait([](const Call& call) { return call.method == "GET"; });
+  faults.step_wall_clock(1h);
+  client.ask(2, "lookup", kStatement, {{"limit", 300}});
+  EXPECT_EQ(client.answer()["id"], 2);  // at its deadline: by then timers have been looked at
+  done = true;
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+}
+
+TEST(WallClock, AStepBackDelaysNoDeadline) {
+  Faults faults;
+  HttpEngine engine([](const Call& call) { return http(call.method == "DELETE" ? 204 : 202); });
+  Broker broker({{"s-00000001", engine.server.address()}}, {}, 0, {}, faults.environment());
+  Client client(broker.address);
+  client.ask(1, "once", kStatement, {{"limit", 2000}});
+  engine.calls.wait([](const Call& call) { return call.method == "GET"; });
+  faults.step_wall_clock(-1h);
+  EXPECT_TRUE(client.answer().contains("error"));
+}
+
+TEST(WallClock, AStepBackDelaysNoShutdown) {
+  Faults faults;
+  HttpEngine engine([](const Call&) { return http(202); });
+  Broker broker({{"s-00000001", engine.server.address()}}, {}, 0, {}, faults.environment());
+  faults.step_wall_clock(-1h);
+  broker.program->signal(SIGTERM);
+  broker.program->said("phase: stopping");
+  EXPECT_EQ(broker.program->wait(), 0);
+}
+
+}  // namespace
+}  // namespace bellstair::test
--- /dev/null
+++ b/tests/faults/fault_shim.hpp
@@ -0,0 +1,45 @@
+// The memory that a test shares with the fault shim in the program under test.
+#pragma once
+
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <stdexcept>
+#include <string>
+
+namespace bellstair::test {
+
+// The environment variable that names the shared file.
+inline constexpr const char* kFaultFileVariable = "BELLSTAIR_FAULT_FILE";
+
+// System calls that the shim can make fail.
+enum class FaultyCall : std::size_t { accept, connect, receive, send, socket, set_option, open, count };
+inline constexpr std::size_t kFaultyCalls = static_cast<std::size_t>(FaultyCall::count);
+
+// Zero-initialized: no fault. Both processes use it at the same time.
+struct FaultState {
+  std::atomic<std::int64_t> wall_clock_offset_ns{0};  // added to CLOCK_REALTIME
+  std::atomic<std::uint64_t> random_state{1};
+  std::atomic<std::uint32_t> failures_per_million[kFaultyCalls]{};
+  std::atomic<std::uint32_t> short_transfers_per_million{0};  // sends and receives of one byte
+  std::atomic<std::uint64_t> injected{0};                     // faults so far
+};
+
+// Maps the shared file; throws std::runtime_error if that fails.
+inline FaultState* map_fault_state(const std::string& path) {
+  // Not by way of open(), which the shim itself replaces.
+  const auto fd = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, path.c_str(), O_RDWR | O_CLOEXEC));
+  if (fd < 0) throw std::runtime_error("cannot open the fault file");
+  void* const memory = ::mmap(nullptr, sizeof(FaultState), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  ::close(fd);
+  if (memory == MAP_FAILED) throw std::runtime_error("cannot map the fault file");
+  return static_cast<FaultState*>(memory);
+}
+
+}  // namespace bellstair::test
