Measure every span on the monotonic clock, not on the wall clock

Cause: Broker fed every part (reducer, decision module, engine driver, pool, change log, fronts) with Unix time from system_clock. A step forward ended all of their timers at once, among them Engines::forgotten(), which takes a query for ended at its engine when 2.4 s have passed unasked. The reducer's guard, the later of two readings, made time stand still after a step back.

Change: core/clock.hpp gives the one clock for spans. Unix time is read once at the start, to translate the moments at which engines started. A span can't depend on the wall clock any more, whatever it is of.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstring>
 
+#include "core/clock.hpp"
 #include "mysql/engines.hpp"
 #include "platform/engines.hpp"
 
@@ -12,8 +13,6 @@
 namespace {
 using namespace std::chrono_literals;
 
-core::Time unix_now() { return std::chrono::system_clock::now().time_since_epoch(); }
-
 double seconds(core::Time time) { return std::chrono::duration<double>(time).count(); }
 
 // Clients hold a third of the descriptors at the most; what is left over is for listeners, files and the
@@ -69,7 +68,8 @@
       file_(std::move(file)),
       config_(std::move(config)),
       fronts_(std::move(fronts)),
-      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4),
+      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4,
+               core::wall_now() - core::monotonic_now()),
       engines_(make_engines()),
       changelog_(loop, config_.changelog, config_.names, config_.known.seq, poster()),
       peers_(loop, config_, poster()),
@@ -127,7 +127,7 @@
 }
 
 void Broker::on_tick(ev::timer&, int) {
-  const auto now = unix_now();
+  const auto now = core::monotonic_now();
   engines_->tick(now);
   front_->tick(now);
   if (mysql_) mysql_->tick(now);
@@ -153,7 +153,7 @@
   } while (!events_.empty());
   const auto due = reducer_.next_call();
   if (!due) return;
-  call_.start(std::max(0.0, seconds(*due - unix_now())) + 1e-5, 0);
+  call_.start(std::max(0.0, seconds(*due - core::monotonic_now())) + 1e-5, 0);
 }
 
 void Broker::pump() {
@@ -163,7 +163,7 @@
     if (auto* arrived = std::get_if<core::Arrived>(&event); arrived != nullptr && plugin_)
       admit(arrived->asked);
     effects_.clear();
-    reducer_.reduce(unix_now(), std::move(event), effects_);
+    reducer_.reduce(core::monotonic_now(), std::move(event), effects_);
     for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
   }
 }
@@ -171,7 +171,7 @@
 // A script that fails for one request fails for many: one line a second says enough.
 void Broker::admit(core::Submission& asked) {
   const auto said = plugin_->admit(asked);
-  const auto now = unix_now();
+  const auto now = core::monotonic_now();
   if (said.empty() || now < plugin_logged_ + 1s) return;
   plugin_logged_ = now;
   run(core::Log{said});
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -51,14 +51,15 @@
 }
 }  // namespace
 
-Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes)
+Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes, Time unix_offset)
     : settings_(settings),
       gateway_(std::move(settings), seed),
       lifecycle_(longest_deadline(settings_)),
-      most_bytes_(most_bytes) {}
+      most_bytes_(most_bytes),
+      unix_offset_(unix_offset) {}
 
 void Reducer::reduce(Time now, Event event, Effects& out) {
-  now_ = std::max(now_, now);
+  now_ = now;
   out_ = &out;
   std::visit([this](auto& e) { on(e); }, event);
   if (const auto due = next_call(); due && now_ >= *due) consult();
@@ -99,6 +100,12 @@
 
 void Reducer::on(const Listening&) { lifecycle_.listening(); }
 
+heronwell::EngineEntry Reducer::entry_of(const Member& member) const {
+  auto entry = member.entry;
+  if (entry.last_start > Time::zero()) entry.last_start -= unix_offset_;
+  return entry;
+}
+
 void Reducer::on(FleetChange& change) {
   heronwell::Listing listing;
   listing.kind = !change.full  ? heronwell::ListKind::delta
@@ -113,7 +120,7 @@
     });
   }
   for (auto& member : change.members) {
-    listing.engines.push_back(member.entry);
+    listing.engines.push_back(entry_of(member));
     const auto state = member.entry.state;
     put(EngineMoved{member.entry.engine, member.address, state != EngineState::gone,
                     state == EngineState::ready});
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -22,9 +22,11 @@
 
   // What requests hold may take `most_bytes`; beyond that they are refused, since to be killed for memory
   // would lose them all.
-  Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20);
+  // `unix_offset`: Unix time less monotonic time, to translate the moments that the change log tells.
+  Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20,
+          Time unix_offset = {});
 
-  // `now` is Unix time; should the system's clock step back, time stands still here instead.
+  // `now`: a reading of monotonic_now(), no earlier than the last one.
   void reduce(Time now, Event event, Effects& out);
 
   [[nodiscard]] const Lifecycle& lifecycle() const { return lifecycle_; }
@@ -85,6 +87,8 @@
   void act(const heronwell::Observe&) {}  // the change log is always asked
   void act(heronwell::Trace& trace);
 
+  // As the module is told of it: its moments are on the monotonic clock.
+  [[nodiscard]] heronwell::EngineEntry entry_of(const Member& member) const;
   void consult();
   void give_up_all();
   void give_up(RequestId id);
@@ -112,6 +116,7 @@
   std::vector<heronwell::Action> actions_;
   RequestId last_request_ = 0;
   std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
+  Time unix_offset_;
   bool fleet_told_ = false;
   Time now_{}, called_{};
   Effects* out_ = nullptr;
