Take no fresh start of an engine for an old one where the wall clock is wrong

What callers would see: a broker that begins on a machine whose clock is an hour ahead takes an engine that started 2 s ago for warm, and its share of the burst makes the engine fall (rule 'failback'). With a clock that is behind, the engine counts as cold for an hour.

Cause: 'started_ms' was compared with the machine's own clock.

Change: StartClock translates starts to the monotonic clock. It corrects the difference where the change log contradicts it: no start lies ahead, a start told live is no older than the last answer without news, less 10 s; the newest start known at the program's start is not believed to be older than two minutes. In doubt starts seem later.

--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -68,7 +68,9 @@
   std::vector<Member> members;
   bool live = false;  // from the change log itself, not from what was known at the start
 };
-struct FleetQuiet {};  // the change log has nothing newer, or cannot be asked
+struct FleetQuiet {    // no news of the list is to be waited for
+  bool heard = false;  // the change log has said that it has nothing newer; else it cannot be asked
+};
 struct Arrived {
   Submission asked;
 };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -56,7 +56,7 @@
       gateway_(std::move(settings), seed),
       lifecycle_(longest_deadline(settings_)),
       most_bytes_(most_bytes),
-      unix_offset_(unix_offset) {}
+      start_clock_(unix_offset) {}
 
 void Reducer::reduce(Time now, Event event, Effects& out) {
   now_ = now;
@@ -102,10 +102,26 @@
 
 heronwell::EngineEntry Reducer::entry_of(const Member& member) const {
   auto entry = member.entry;
-  if (entry.last_start > Time::zero()) entry.last_start -= unix_offset_;
+  if (entry.last_start > Time::zero()) entry.last_start = start_clock_.monotonic(entry.last_start);
   return entry;
 }
 
+bool Reducer::learn_starts(const FleetChange& change) {
+  bool changed = false;
+  for (const auto& member : change.members) {
+    const Time start = member.entry.last_start;
+    const auto known = members_.find(member.entry.engine);
+    if (start == Time::zero() || (known != members_.end() && start <= known->second.entry.last_start))
+      continue;
+    if (!change.live) {
+      changed |= start_clock_.known_at_start(now_, start);
+    } else if (!change.full) {
+      changed |= start_clock_.told(now_, start);
+    }
+  }
+  return changed;
+}
+
 void Reducer::on(FleetChange& change) {
   heronwell::Listing listing;
   listing.kind = !change.full  ? heronwell::ListKind::delta
@@ -119,6 +135,9 @@
       return true;
     });
   }
+  if (learn_starts(change)) {
+    for (const auto& [id, member] : members_) listing.engines.push_back(entry_of(member));
+  }
   for (auto& member : change.members) {
     listing.engines.push_back(entry_of(member));
     const auto state = member.entry.state;
@@ -147,7 +166,8 @@
   if (change.live) on(FleetQuiet{});
 }
 
-void Reducer::on(const FleetQuiet&) {
+void Reducer::on(const FleetQuiet& quiet) {
+  if (quiet.heard) start_clock_.caught_up(now_);
   const auto ready = [](const auto& m) { return m.second.entry.state == EngineState::ready; };
   if (std::ranges::any_of(members_, ready)) lifecycle_.fleet_known();
 }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -11,6 +11,7 @@
 
 #include "core/events.hpp"
 #include "core/lifecycle.hpp"
+#include "core/start_clock.hpp"
 #include "core/wheel.hpp"
 #include "heronwell/gateway.hpp"
 
@@ -61,7 +62,7 @@
 
   void on(const Listening&);
   void on(FleetChange& change);
-  void on(const FleetQuiet&);
+  void on(const FleetQuiet& quiet);
   void on(Arrived& arrived);
   void on(const Cancelled& cancelled);
   void on(const ClientEnded& ended);
@@ -89,6 +90,8 @@
 
   // As the module is told of it: its moments are on the monotonic clock.
   [[nodiscard]] heronwell::EngineEntry entry_of(const Member& member) const;
+  // True: starts that were told before translate to other moments now.
+  bool learn_starts(const FleetChange& change);
   void consult();
   void give_up_all();
   void give_up(RequestId id);
@@ -116,7 +119,7 @@
   std::vector<heronwell::Action> actions_;
   RequestId last_request_ = 0;
   std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
-  Time unix_offset_;
+  StartClock start_clock_;
   bool fleet_told_ = false;
   Time now_{}, called_{};
   Effects* out_ = nullptr;
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -84,7 +84,7 @@
                  static_cast<unsigned long long>(since_));
   // With news there may be more already.
   caught_up_ = since_ == before;
-  if (caught_up_) post_(core::FleetQuiet{});
+  if (caught_up_) post_(core::FleetQuiet{true});
   stage_ = Stage::idle;
   due_ = now_ + kPace;
   if (!answer.keep_alive) disconnect();
@@ -121,7 +121,7 @@
   disconnect();
   caught_up_ = false;
   due_ = now_ + kPause;
-  post_(core::FleetQuiet{});  // what is known has to do
+  post_(core::FleetQuiet{false});  // what is known has to do
 }
 
 void ChangeLog::disconnect() {
