Read what came during a standstill before anything is taken for overdue

What callers would see: a request that lay unread for 1 s was given its whole limit anew, so its engine was told of 2.95 s where its client had 2.0 s left (bound: + 0.15 s). An answer that lay unread was taken for silence and asked for again.

Cause: Reducer::on(Arrived) counted the limit from when it was read; the tick ran before the sockets were read, and one poll reports only part of many ready descriptors.

Change: after a pause of more than 50 ms (the loop turns every 5 ms) the loop first polls until all that came has been read, then looks at timers; requests read in these turns count from the last poll before the pause.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -13,6 +13,12 @@
 namespace {
 using namespace std::chrono_literals;
 
+// The loop turns every Reducer::kTick. After a longer pause (stopped, or without a processor) clients may
+// have left and answers come that were not read yet.
+constexpr core::Time kPause = 50ms;
+// A poll of the loop reports so many descriptors at the least, if they are ready.
+constexpr std::size_t kReadyPerPoll = 64;
+
 double seconds(core::Time time) { return std::chrono::duration<double>(time).count(); }
 
 // Clients hold a third of the descriptors at the most; what is left over is for listeners, files and the
@@ -76,6 +82,7 @@
       tick_(loop),
       call_(loop),
       prepare_(loop),
+      check_(loop),
       term_(loop),
       interrupt_(loop),
       hangup_(loop) {
@@ -107,6 +114,7 @@
   tick_.set<Broker, &Broker::on_tick>(this);
   call_.set<Broker, &Broker::on_call>(this);
   prepare_.set<Broker, &Broker::on_prepare>(this);
+  check_.set<Broker, &Broker::on_check>(this);
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
   hangup_.set<Broker, &Broker::on_hangup>(this);
@@ -123,10 +131,13 @@
   sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
+  polled_ = core::monotonic_now();
+  check_.start();
   loop_.run(0);
 }
 
 void Broker::on_tick(ev::timer&, int) {
+  if (turns_behind_ > 0) return;  // what has come is read before anything is taken for overdue
   const auto now = core::monotonic_now();
   engines_->tick(now);
   front_->tick(now);
@@ -143,8 +154,23 @@
 
 void Broker::on_hangup(ev::sig&, int) { post(core::ReloadAsked{}); }
 
+// Called first in each turn of the loop, before anything is read.
+void Broker::on_check(ev::check&, int) {
+  const auto before = std::exchange(polled_, core::monotonic_now());
+  if (polled_ - before <= kPause) return;
+  if (turns_behind_ == 0) standstill_began_ = before;
+  turns_behind_ = 1 + config_.sockets / kReadyPerPoll;
+}
+
+void Broker::post(core::Event event) {
+  auto* const arrived = std::get_if<core::Arrived>(&event);
+  if (arrived != nullptr && turns_behind_ > 0) arrived->came = standstill_began_;
+  events_.push_back(std::move(event));
+}
+
 // Before the loop sleeps: all that has happened in this turn of it.
 void Broker::on_prepare(ev::prepare&, int) {
+  if (turns_behind_ > 0 && --turns_behind_ > 0) return call_.start(0, 0);  // another turn, without a sleep
   do {
     pump();
     engines_->settle();
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -31,10 +31,11 @@
   void run();  // until it has stopped
 
  private:
-  void post(core::Event event) { events_.push_back(std::move(event)); }
+  void post(core::Event event);
   void on_tick(ev::timer& timer, int events);
   void on_call(ev::timer& timer, int events);
   void on_prepare(ev::prepare& prepare, int events);
+  void on_check(ev::check& check, int events);
   void on_signal(ev::sig& signal, int events);
   void on_hangup(ev::sig& signal, int events);
   void pump();
@@ -71,10 +72,14 @@
   std::unique_ptr<plugin::Admission> plugin_;
   std::unique_ptr<mysql::Front> mysql_;
   core::Time plugin_logged_{};
+  core::Time polled_{};            // when the loop's last poll returned
+  core::Time standstill_began_{};  // the last poll before the program stood still
+  std::size_t turns_behind_ = 0;   // turns of the loop until all that came meanwhile has been read
   platform::ChangeLog changelog_;
   platform::Peers peers_;
   ev::timer tick_, call_;
   ev::prepare prepare_;
+  ev::check check_;
   ev::sig term_, interrupt_, hangup_;
 };
 
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -73,6 +73,7 @@
 };
 struct Arrived {
   Submission asked;
+  Time came{};  // its last byte came no earlier; zero: just now
 };
 struct Cancelled {  // the client has stopped waiting
   Client client = 0;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -197,7 +197,7 @@
   arrival.repeat = asked.repeat;
   by_client_[asked.client] = id;
   auto& request = requests_[id];
-  request.deadline = now_ + asked.limit;
+  request.deadline = (arrived.came > Time::zero() ? arrived.came : now_) + asked.limit;
   request.asked = std::move(asked);
   held_bytes_ += bytes;
   ++owed_;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -456,6 +456,11 @@
     return line.substr(line.rfind(' ') + 1);
   }
   void signal(int number) { ::kill(pid_, number); }
+  // Returns once it stands still; SIGCONT lets it go on.
+  void stop() {
+    ::kill(pid_, SIGSTOP);
+    ::waitpid(pid_, nullptr, WUNTRACED);
+  }
   int wait() {
     int status = 0;
     ::waitpid(pid_, &status, 0);
