Make calls again that failed for a moment, and blame no engine for this machine's wants

What callers would see: a send or recv that failed with ENOBUFS or ENOMEM closed the client's connection, so its requests were lost unanswered. A connect that failed with EINTR, EADDRNOTAVAIL, ENOBUFS or ENOMEM, or a socket with ENOBUFS or ENOMEM, passed for a dead engine: it was rested, marked cold, and the request failed. An epoll_ctl that failed left a connection unwatched; a listener then took nothing more.

Change: net::transient() and net::local_shortage() name these errors in one place. Streams go on, the pool waits for the shortage to pass as it does for descriptors, an interrupted connect goes on in the background, and what the loop has stopped to watch is watched again.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -94,8 +94,10 @@
   const auto address = parse_address(engine.address);
   errno = 0;
   auto fd = address ? begin_connect(*address) : Fd();
-  if (!fd && (errno == EMFILE || errno == ENFILE)) {
-    if (engine.idle.empty()) evict();  // its own will do, once they have settled
+  const int error = errno;
+  if (!fd && local_shortage(error)) {
+    // Its own idle ones will do, once they have settled.
+    if (out_of_descriptors(error) && engine.idle.empty()) evict();
     return false;
   }
   ++counts_.dialled;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -15,6 +15,14 @@
   const int on = 1;
   ::setsockopt(fd, level, option, &on, sizeof on);
 }
+
+// Closes it; errno stays as the call that failed has set it.
+Fd failed(Fd& fd) {
+  const int error = errno;
+  fd.reset();
+  errno = error;
+  return {};
+}
 }  // namespace
 
 std::optional<sockaddr_in> parse_address(std::string_view text) {
@@ -36,7 +44,7 @@
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return fd;
   set(fd.get(), SOL_SOCKET, SO_REUSEADDR);
-  if (::bind(fd.get(), any(at), sizeof at) != 0 || ::listen(fd.get(), 512) != 0) return {};
+  if (::bind(fd.get(), any(at), sizeof at) != 0 || ::listen(fd.get(), 512) != 0) return failed(fd);
   return fd;
 }
 
@@ -59,10 +67,23 @@
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return fd;
   set(fd.get(), IPPROTO_TCP, TCP_NODELAY);
-  if (::connect(fd.get(), any(to), sizeof to) != 0 && errno != EINPROGRESS) return {};
+  // Interrupted, it goes on in the background all the same.
+  if (::connect(fd.get(), any(to), sizeof to) != 0 && errno != EINPROGRESS && errno != EINTR)
+    return failed(fd);
   return fd;
 }
 
+bool out_of_descriptors(int error) { return error == EMFILE || error == ENFILE; }
+
+bool local_shortage(int error) {
+  return out_of_descriptors(error) || error == EADDRNOTAVAIL || error == EAGAIN || error == ENOBUFS ||
+         error == ENOMEM;
+}
+
+bool transient(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOBUFS || error == ENOMEM;
+}
+
 int connect_error(int fd) {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -42,6 +42,12 @@
 [[nodiscard]] std::string local_address(int fd);
 [[nodiscard]] Fd bind_udp(const sockaddr_in& at);
 [[nodiscard]] Fd begin_connect(const sockaddr_in& to);  // done once it is writable, see connect_error()
-[[nodiscard]] int connect_error(int fd);                // 0: connected
+// Errors of system calls. Out of descriptors, here or in the whole system:
+[[nodiscard]] bool out_of_descriptors(int error);
+// This machine lacks something for now (descriptors, ports, memory): tells nothing of the peer.
+[[nodiscard]] bool local_shortage(int error);
+// The call may succeed when it is made again on the same connection.
+[[nodiscard]] bool transient(int error);
+[[nodiscard]] int connect_error(int fd);  // 0: connected
 
 }  // namespace bellstair::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -35,7 +35,7 @@
   if (!fd_ || failed_) return false;
   if (unwritten() == 0 && !dialling_) {
     const auto sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+    if (sent < 0 && !transient(errno)) {
       failed_ = true;  // told from the loop, since the caller is in the middle of something
       watch();
       return false;
@@ -82,7 +82,7 @@
 bool Stream::stale() const {
   char byte = 0;
   const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got >= 0 || (errno != EAGAIN && errno != EINTR);
+  return got >= 0 || !transient(errno);
 }
 
 void Stream::fail() {
@@ -96,6 +96,7 @@
 
 void Stream::on_io(ev::io&, int events) {
   if (failed_) return fail();
+  if ((events & ev::ERROR) != 0) return watch();  // the loop could not watch it, and has stopped: once more
   if (dialling_) {
     if (const int error = connect_error(fd_.get()); error != 0) {
       cut_off_ = error == ECONNRESET;
@@ -122,7 +123,7 @@
     if (handlers_.data) handlers_.data({buffer.data(), static_cast<std::size_t>(got)});
     return;
   }
-  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (got < 0 && transient(errno)) return;
   if (got < 0) return fail();
   ended_ = true;
   watch();
@@ -133,7 +134,7 @@
   while (unwritten() > 0) {
     const auto sent = ::send(fd_.get(), out_.data() + out_at_, unwritten(), MSG_NOSIGNAL);
     if (sent < 0) {
-      if (errno == EAGAIN || errno == EINTR) break;
+      if (transient(errno)) break;
       return fail();
     }
     out_at_ += static_cast<std::size_t>(sent);
@@ -159,12 +160,18 @@
 
 void Listener::keep_reserve() { reserve_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC)); }
 
+void Listener::pause() {
+  io_.stop();
+  resume_.start(kAcceptPause, 0);
+}
+
 void Listener::on_resume(ev::timer&, int) {
   if (!reserve_) keep_reserve();
   io_.start(fd_.get(), ev::READ);
 }
 
-void Listener::on_io(ev::io&, int) {
+void Listener::on_io(ev::io&, int events) {
+  if ((events & ev::ERROR) != 0) return pause();  // the loop could not watch it
   for (int i = 0; i < 64; ++i) {
     Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd && (errno == EMFILE || errno == ENFILE) && reserve_) {
@@ -174,10 +181,7 @@
       if (came) continue;
       return;
     }
-    if (!fd && errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
-      io_.stop();
-      resume_.start(kAcceptPause, 0);
-    }
+    if (!fd && errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) pause();
     if (!fd) return;
     const int on = 1;
     ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -77,6 +77,7 @@
   void on_io(ev::io& watcher, int events);
   void on_resume(ev::timer& timer, int events);
   void keep_reserve();
+  void pause();
   ev::io io_;
   ev::timer resume_;
   Fd fd_, reserve_;
--- a/tests/faults/fault_shim.cpp
+++ b/tests/faults/fault_shim.cpp
@@ -3,6 +3,7 @@
 #include "fault_shim.hpp"
 
 #include <dlfcn.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 
@@ -43,15 +44,16 @@
   return true;
 }
 
-// True: the call is to fail, and errno holds one of its documented errors.
+// True: the call is to fail, and errno holds one of its documented errors. The first `transient` of them
+// break nothing: the call may be made again.
 template <std::size_t N>
-bool fails(FaultyCall call, const std::array<int, N>& errors) {
+bool fails(FaultyCall call, const std::array<int, N>& errors, std::size_t transient = N) {
   const int before = errno;
   if (!draw(state().failures_per_million[static_cast<std::size_t>(call)].load())) {
     errno = before;
     return false;
   }
-  errno = errors[state().random_state.load() % N];
+  errno = errors[state().random_state.load() % (state().transient_only.load() ? transient : N)];
   return true;
 }
 
@@ -94,8 +96,8 @@
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
   static const auto real = original<int(int, const sockaddr*, socklen_t)>("connect");
-  constexpr std::array kErrors{EINTR, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ENOBUFS, ECONNREFUSED};
-  if (!fails(FaultyCall::connect, kErrors)) return real(fd, address, size);
+  constexpr std::array kErrors{EINTR, EADDRNOTAVAIL, ENOBUFS, ENETUNREACH, EHOSTUNREACH, ECONNREFUSED};
+  if (!fails(FaultyCall::connect, kErrors, 3)) return real(fd, address, size);
   // An interrupted connect goes on in the background.
   const int error = errno;
   if (error == EINTR && real(fd, address, size) == 0) return 0;
@@ -106,14 +108,14 @@
 ssize_t recv(int fd, void* buffer, size_t size, int flags) {
   static const auto real = original<ssize_t(int, void*, size_t, int)>("recv");
   constexpr std::array kErrors{EINTR, EAGAIN, ENOMEM, ECONNRESET, ETIMEDOUT, EHOSTUNREACH};
-  if (fails(FaultyCall::receive, kErrors)) return -1;
+  if (fails(FaultyCall::receive, kErrors, 3)) return -1;
   return real(fd, buffer, size > 1 && draw(state().short_transfers_per_million.load()) ? 1 : size, flags);
 }
 
 ssize_t send(int fd, const void* buffer, size_t size, int flags) {
   static const auto real = original<ssize_t(int, const void*, size_t, int)>("send");
   constexpr std::array kErrors{EINTR, EAGAIN, ENOBUFS, ENOMEM, ECONNRESET, EPIPE};
-  if (fails(FaultyCall::send, kErrors)) return -1;
+  if (fails(FaultyCall::send, kErrors, 4)) return -1;
   return real(fd, buffer, size > 1 && draw(state().short_transfers_per_million.load()) ? 1 : size, flags);
 }
 
@@ -129,6 +131,14 @@
   return fails(FaultyCall::set_option, kErrors) ? -1 : real(fd, level, option, value, size);
 }
 
+int epoll_ctl(int poll, int operation, int fd, epoll_event* event) noexcept {
+  static const auto real = original<int(int, int, int, epoll_event*)>("epoll_ctl");
+  constexpr std::array kErrors{ENOMEM, ENOSPC};
+  // Taking a descriptor out of the set needs no memory.
+  if (operation != EPOLL_CTL_DEL && fails(FaultyCall::epoll_control, kErrors)) return -1;
+  return real(poll, operation, fd, event);
+}
+
 int open(const char* path, int flags, ...) {
   static const auto real = original<int(const char*, int, ...)>("open");
   constexpr std::array kErrors{EINTR, EMFILE, ENFILE, ENOMEM, EIO};
--- a/tests/faults/fault_shim.hpp
+++ b/tests/faults/fault_shim.hpp
@@ -19,7 +19,17 @@
 inline constexpr const char* kFaultFileVariable = "BELLSTAIR_FAULT_FILE";
 
 // System calls that the shim can make fail.
-enum class FaultyCall : std::size_t { accept, connect, receive, send, socket, set_option, open, count };
+enum class FaultyCall : std::size_t {
+  accept,
+  connect,
+  receive,
+  send,
+  socket,
+  set_option,
+  open,
+  epoll_control,
+  count
+};
 inline constexpr std::size_t kFaultyCalls = static_cast<std::size_t>(FaultyCall::count);
 
 // Zero-initialized: no fault. Both processes use it at the same time.
@@ -28,6 +38,7 @@
   std::atomic<std::uint64_t> random_state{1};
   std::atomic<std::uint32_t> failures_per_million[kFaultyCalls]{};
   std::atomic<std::uint32_t> short_transfers_per_million{0};  // sends and receives of one byte
+  std::atomic<bool> transient_only{false};                    // only errors that break no connection
   std::atomic<std::uint64_t> injected{0};                     // faults so far
 };
 
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -468,8 +468,9 @@
     reader_.join();
     return status;
   }
-  std::size_t lines() {
-    return lines_.count([](const std::string&) { return true; });
+  std::size_t lines() { return count_said(""); }
+  std::size_t count_said(const std::string& what) {
+    return lines_.count([&](const std::string& line) { return line.find(what) != std::string::npos; });
   }
 
  private:
@@ -511,6 +512,7 @@
     std::ofstream(files_.front()) << text;
     program->signal(SIGHUP);
   }
+  [[nodiscard]] const std::string& configuration_file() const { return files_.front(); }
   ~Broker() {
     for (const auto& file : files_) ::unlink(file.c_str());
   }
