Try again to listen and to read a new configuration when that fails for a moment

What callers would see: a broker that is started while its predecessor still holds the address exits with status 1, and never comes up. A SIGHUP that comes while the file can't be read (no descriptors left) or is half written leaves the broker on an address of the change log that tells nothing more.

Change: listening is tried for 10 s; the configuration is read again every 100 ms for 10 s. The first problem is told.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -1,9 +1,11 @@
 #include "app/broker.hpp"
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstring>
+#include <thread>
 
 #include "core/clock.hpp"
 #include "mysql/engines.hpp"
@@ -16,6 +18,8 @@
 // The loop turns every Reducer::kTick. After a longer pause (stopped, or without a processor) clients may
 // have left and answers come that were not read yet.
 constexpr core::Time kPause = 50ms;
+// A configuration that can't be read is tried again so often, and for so long.
+constexpr core::Time kReloadPause = 100ms, kMostReloadWait = 10s;
 // A poll of the loop reports so many descriptors at the least, if they are ready.
 constexpr std::size_t kReadyPerPoll = 64;
 
@@ -39,13 +43,27 @@
   return out;
 }
 
+// A predecessor that is being killed may hold the address still, and the system lack memory for a moment.
+constexpr core::Time kMostListenWait = 10s, kListenPause = 100ms;
+
 net::Fd listen(const std::string& address, const char* field) {
   const auto at = net::parse_address(address);
   if (!at) throw CannotStart(std::string(field) + ": is not an address with a port");
-  auto fd = net::listen_tcp(*at);
-  if (!fd) throw CannotStart(std::string(field) + ": " + address + ": " + std::strerror(errno));
-  std::fprintf(stderr, "bellstair: %s on %s\n", field, net::local_address(fd.get()).c_str());
-  return fd;
+  const auto give_up = core::monotonic_now() + kMostListenWait;
+  bool told = false;
+  while (true) {
+    auto fd = net::listen_tcp(*at);
+    if (fd) {
+      std::fprintf(stderr, "bellstair: %s on %s\n", field, net::local_address(fd.get()).c_str());
+      return fd;
+    }
+    const int error = errno;
+    const auto problem = std::string(field) + ": " + address + ": " + std::strerror(error);
+    const bool may_pass = error == EADDRINUSE || net::local_shortage(error);
+    if (!may_pass || core::monotonic_now() >= give_up) throw CannotStart(problem);
+    if (!std::exchange(told, true)) std::fprintf(stderr, "bellstair: %s; trying again\n", problem.c_str());
+    std::this_thread::sleep_for(kListenPause);
+  }
 }
 }  // namespace
 
@@ -85,7 +103,8 @@
       check_(loop),
       term_(loop),
       interrupt_(loop),
-      hangup_(loop) {
+      hangup_(loop),
+      reload_(loop) {
   const auto share = client_share(config_.sockets);
   front_ = std::make_unique<platform::Front>(
       loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? share / 2 : share, handles_,
@@ -118,6 +137,7 @@
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
   hangup_.set<Broker, &Broker::on_hangup>(this);
+  reload_.set<Broker, &Broker::on_reload>(this);
 }
 
 void Broker::run() {
@@ -211,8 +231,16 @@
   std::fprintf(stderr, "bellstair %s: %s\n", config_.name.c_str(), effect.text.c_str());
 }
 
-// Read whole, and as strictly as at the start, before anything of it is used.
 void Broker::run(const core::ReadConfiguration&) {
+  reload_until_ = core::monotonic_now() + kMostReloadWait;
+  read_configuration(true);
+}
+
+void Broker::on_reload(ev::timer&, int) { read_configuration(false); }
+
+// Read whole, and as strictly as at the start, before anything of it is used. Out of descriptors, or while it
+// is being written, it can't be: it is tried again then, and only the first problem is told.
+void Broker::read_configuration(bool tell_problem) {
   core::ConfigurationRead read;
   try {
     const auto again = config::parse(config::read_file(file_, "configuration"));
@@ -223,7 +251,13 @@
   } catch (const std::exception& error) {
     read.problem = error.what();
   }
-  post(std::move(read));
+  const bool failed = !read.problem.empty();
+  if (failed && core::monotonic_now() < reload_until_) {
+    reload_.start(seconds(kReloadPause), 0);
+  } else {
+    reload_.stop();
+  }
+  if (!failed || tell_problem) post(std::move(read));
 }
 
 void Broker::run(const core::Exit&) { loop_.break_loop(ev::ALL); }
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -38,6 +38,8 @@
   void on_check(ev::check& check, int events);
   void on_signal(ev::sig& signal, int events);
   void on_hangup(ev::sig& signal, int events);
+  void on_reload(ev::timer& timer, int events);
+  void read_configuration(bool tell_problem);
   void pump();
   void admit(core::Submission& asked);
   [[nodiscard]] net::Post poster();
@@ -81,6 +83,8 @@
   ev::prepare prepare_;
   ev::check check_;
   ev::sig term_, interrupt_, hangup_;
+  ev::timer reload_;  // the configuration is tried again
+  core::Time reload_until_{};
 };
 
 }  // namespace bellstair::app
--- a/tests/faults/system_call_test.cpp
+++ b/tests/faults/system_call_test.cpp
@@ -49,5 +49,41 @@
                                            FaultyCallCase{"epoll_control", FaultyCall::epoll_control}),
                          [](const auto& instance) { return instance.param.name; });
 
+// The configuration is asked for while it cannot be read, or while it is only half written.
+TEST(Reload, IsTriedAgainUntilTheConfigurationCanBeRead) {
+  Faults faults;
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}}, {}, 0, {}, faults.environment());
+  ChangeLog moved;
+  moved.push(json::array({server("s-00000001", engine.server.address())}), true);
+  auto config = broker.config;
+  config["changelog"] = moved.address();
+  const auto text = config.dump();
+  broker.reload(text.substr(0, text.size() / 2));
+  broker.program->said("the configuration stays as it was");
+  std::ofstream(broker.configuration_file()) << text;
+  broker.program->said("the configuration was read again");
+  moved.wait_until_told();
+}
+
+TEST(Start, WaitsForAnAddressThatIsStillInUse) {
+  std::optional<Server> predecessor(std::in_place, [](Socket&) {});
+  const auto address = predecessor->address();
+  ChangeLog changes;
+  changes.push(json::array(), true);
+  const auto file = temporary(json{
+      {"name", "n0"},
+      {"listen", address},
+      {"seed", "8c1f30d27a5be964"},
+      {"changelog", changes.address()},
+      {"known", changes.known()},
+      {"settings", settings()}}.dump());
+  Program program({"serve", "--config", file});
+  program.said("listen: " + address + ": Address already in use");
+  predecessor.reset();
+  program.said("phase: serving");
+  ::unlink(file.c_str());
+}
+
 }  // namespace
 }  // namespace bellstair::test
