Watch a connection again when the loop could not change what it watches for

Cause: epoll_ctl failed with ENOMEM when the stream began to wait for room to write. libev then stops the watcher and tells so, and when it is started again it takes the kernel to know the events that it last asked for: the retry is a no-op, and the room to write is never reported.

Evidence: the broker's log had no line for these requests, so they were served; their connection stayed open for 3.6 s without a byte. One call in three of send and epoll_ctl failing reproduces it.

Change: Stream::watch_again() first asks for other events, so that the kernel is told anew.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -31,6 +31,13 @@
   }
 }
 
+// The loop could not change what it watches for, and has stopped. libev takes the kernel to know the events
+// that it last asked for, and does not ask for the same ones again: so it is made to ask for others, among
+// them one that soon comes and leads to watch().
+void Stream::watch_again() {
+  io_.start(fd_.get(), io_.events == ev::WRITE ? ev::READ | ev::WRITE : ev::WRITE);
+}
+
 bool Stream::write(std::string_view bytes) {
   if (!fd_ || failed_) return false;
   if (unwritten() == 0 && !dialling_) {
@@ -96,7 +103,7 @@
 
 void Stream::on_io(ev::io&, int events) {
   if (failed_) return fail();
-  if ((events & ev::ERROR) != 0) return watch();  // the loop could not watch it, and has stopped: once more
+  if ((events & ev::ERROR) != 0) return watch_again();
   if (dialling_) {
     if (const int error = connect_error(fd_.get()); error != 0) {
       cut_off_ = error == ECONNRESET;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -65,6 +65,7 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
   void watch();
+  void watch_again();
 };
 
 // Accepts connections. Out of descriptors it turns away what comes, by way of one kept in reserve: left
--- a/tests/faults/system_call_test.cpp
+++ b/tests/faults/system_call_test.cpp
@@ -11,7 +11,7 @@
 
 struct FaultyCallCase {
   const char* name;
-  FaultyCall call;
+  std::vector<FaultyCall> calls;
 };
 
 class TransientFailure : public ::testing::TestWithParam<FaultyCallCase> {};
@@ -27,7 +27,8 @@
       [&](const Call& call) { return last(call.method == "POST" ? http(202) : rows("x\ty\tz\n")); });
   Broker broker({{"s-00000001", engine.server.address()}}, {}, 0, {}, faults.environment());
   faults->transient_only = true;
-  faults->failures_per_million[static_cast<std::size_t>(GetParam().call)] = kOneInThree;
+  for (const auto call : GetParam().calls)
+    faults->failures_per_million[static_cast<std::size_t>(call)] = kOneInThree;
   for (int round = 0; round < kRounds; ++round) {
     Client client(broker.address);
     client.ask(1, "once", kStatement, {{"txn", ticket(static_cast<unsigned>(2 * round))}});
@@ -40,13 +41,15 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Of, TransientFailure,
-                         ::testing::Values(FaultyCallCase{"accept", FaultyCall::accept},
-                                           FaultyCallCase{"connect", FaultyCall::connect},
-                                           FaultyCallCase{"receive", FaultyCall::receive},
-                                           FaultyCallCase{"send", FaultyCall::send},
-                                           FaultyCallCase{"socket", FaultyCall::socket},
-                                           FaultyCallCase{"set_option", FaultyCall::set_option},
-                                           FaultyCallCase{"epoll_control", FaultyCall::epoll_control}),
+                         ::testing::Values(FaultyCallCase{"accept", {FaultyCall::accept}},
+                                           FaultyCallCase{"connect", {FaultyCall::connect}},
+                                           FaultyCallCase{"receive", {FaultyCall::receive}},
+                                           FaultyCallCase{"send", {FaultyCall::send}},
+                                           FaultyCallCase{"socket", {FaultyCall::socket}},
+                                           FaultyCallCase{"set_option", {FaultyCall::set_option}},
+                                           FaultyCallCase{"epoll_control", {FaultyCall::epoll_control}},
+                                           FaultyCallCase{"send_and_epoll_control",
+                                                          {FaultyCall::send, FaultyCall::epoll_control}}),
                          [](const auto& instance) { return instance.param.name; });
 
 // The configuration is asked for while it cannot be read, or while it is only half written.
