Log why a request was not served, with its id, and steps of the wall clock

What was missed while tracing the order incident: no line told which request had ended, why, and on what engines it was out; that the clock had been stepped could only be inferred from six timers that ended in one moment.

Refuse and Fail carry the module's reason. Steps of the wall clock of 0.5 s and more, and standstills of the program, are logged with their length.

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -186,9 +186,11 @@
 struct Refuse {  // a retry does no harm
   RequestId request = 0;
   Time pause{};
+  const char* reason = "";  // for logs; lives as long as the program
 };
 struct Fail {  // no promise about the effect
   RequestId request = 0;
+  const char* reason = "";  // for logs; lives as long as the program
 };
 struct Terms {  // for the request's further sends; the priority also for what is out
   RequestId request = 0;
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -20,6 +20,8 @@
 constexpr core::Time kPause = 50ms;
 // A configuration that can't be read is tried again so often, and for so long.
 constexpr core::Time kReloadPause = 100ms, kMostReloadWait = 10s;
+// Steps of the wall clock are logged from this size on.
+constexpr core::Time kToldStep = 500ms;
 // A poll of the loop reports so many descriptors at the least, if they are ready.
 constexpr std::size_t kReadyPerPoll = 64;
 
@@ -152,12 +154,14 @@
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   polled_ = core::monotonic_now();
+  wall_offset_ = core::wall_now() - polled_;
   check_.start();
   loop_.run(0);
 }
 
 void Broker::on_tick(ev::timer&, int) {
   if (turns_behind_ > 0) return;  // what has come is read before anything is taken for overdue
+  watch_wall_clock();
   const auto now = core::monotonic_now();
   engines_->tick(now);
   front_->tick(now);
@@ -168,6 +172,14 @@
   post(core::Tick{unwritten()});
 }
 
+// Nothing goes by the wall clock, but whoever reads the log beside others' has to know of its steps.
+void Broker::watch_wall_clock() {
+  const auto offset = core::wall_now() - core::monotonic_now();
+  const auto step = offset - std::exchange(wall_offset_, offset);
+  if (step > kToldStep || step < -kToldStep)
+    run(core::Log{"the wall clock was stepped by " + std::to_string(seconds(step)) + " s"});
+}
+
 void Broker::on_call(ev::timer&, int) { post(core::Tick{unwritten()}); }
 
 void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
@@ -178,6 +190,7 @@
 void Broker::on_check(ev::check&, int) {
   const auto before = std::exchange(polled_, core::monotonic_now());
   if (polled_ - before <= kPause) return;
+  run(core::Log{"the program stood still for " + std::to_string(seconds(polled_ - before)) + " s"});
   if (turns_behind_ == 0) standstill_began_ = before;
   turns_behind_ = 1 + config_.sockets / kReadyPerPoll;
 }
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -38,6 +38,7 @@
   void on_check(ev::check& check, int events);
   void on_signal(ev::sig& signal, int events);
   void on_hangup(ev::sig& signal, int events);
+  void watch_wall_clock();
   void on_reload(ev::timer& timer, int events);
   void read_configuration(bool tell_problem);
   void pump();
@@ -74,6 +75,7 @@
   std::unique_ptr<plugin::Admission> plugin_;
   std::unique_ptr<mysql::Front> mysql_;
   core::Time plugin_logged_{};
+  core::Time wall_offset_{};       // wall time less monotonic time, when last looked at
   core::Time polled_{};            // when the loop's last poll returned
   core::Time standstill_began_{};  // the last poll before the program stood still
   std::size_t turns_behind_ = 0;   // turns of the loop until all that came meanwhile has been read
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -328,7 +328,7 @@
     ++given_up_[why];
     const auto id = request.asked.request;
     const Time pause = s_.retry_after ? s_.max_retry_after : Time::zero();
-    may_refuse(request) ? put(Refuse{id, pause}) : put(Fail{id});
+    may_refuse(request) ? put(Refuse{id, pause, why}) : put(Fail{id, why});
     close(request);
   }
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -44,6 +44,42 @@
   return timed_out ? Result::timed_out : Result::called_off;
 }
 
+const char* name(AnswerKind kind) {
+  switch (kind) {
+    case AnswerKind::served:
+      return "served";
+    case AnswerKind::refused:
+      return "refused";
+    case AnswerKind::failed:
+      return "failed";
+    case AnswerKind::timed_out:
+      return "timed out";
+  }
+  return "?";
+}
+
+const char* name(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::served:
+      return "served";
+    case AttemptEnd::error:
+      return "error";
+    case AttemptEnd::turned_away:
+      return "turned away";
+    case AttemptEnd::expired:
+      return "expired";
+    case AttemptEnd::not_connected:
+      return "not connected";
+    case AttemptEnd::reset:
+      return "reset";
+    case AttemptEnd::lost:
+      return "lost";
+    case AttemptEnd::withdrawn:
+      return "withdrawn";
+  }
+  return "?";
+}
+
 Time longest_deadline(const heronwell::Settings& settings) {
   Time out{};
   for (const auto& set : settings.classes) out = std::max(out, set.give_up);
@@ -98,6 +134,20 @@
 
 // ---- events
 
+const char* Reducer::stage_name(Stage stage) {
+  switch (stage) {
+    case Stage::waiting:
+      return "waiting for a connection";
+    case Stage::out:
+      return "out";
+    case Stage::leaving:
+      return "being given up";
+    case Stage::over:
+      return "over";
+  }
+  return "?";
+}
+
 void Reducer::on(const Listening&) { lifecycle_.listening(); }
 
 heronwell::EngineEntry Reducer::entry_of(const Member& member) const {
@@ -197,6 +247,7 @@
   arrival.repeat = asked.repeat;
   by_client_[asked.client] = id;
   auto& request = requests_[id];
+  request.taken = now_;
   request.deadline = (arrived.came > Time::zero() ? arrived.came : now_) + asked.limit;
   request.asked = std::move(asked);
   held_bytes_ += bytes;
@@ -213,6 +264,7 @@
   request.answered = true;  // nothing is owed any more
   by_client_.erase(found);
   --owed_;
+  log_end(request, "dropped", "its client has cancelled it or is gone");
   news_.push_back(heronwell::ClientLeft{id});
   forget_if_done(id);
 }
@@ -228,7 +280,7 @@
 void Reducer::give_up_unless_it_runs(RequestId id) {
   const auto runs = [](const Attempt& attempt) { return attempt.stage == Stage::out; };
   const auto& request = requests_.at(id);
-  if (!request.answered && std::ranges::none_of(request.attempts, runs)) give_up(id);
+  if (!request.answered && std::ranges::none_of(request.attempts, runs)) give_up(id, "its client has ended");
 }
 
 // The engine's state is looked at once more here: the list may have changed while a connection was made.
@@ -275,11 +327,12 @@
   outcome.result = result;
   outcome.latency = now_ - attempt.begun;
   if (told != nullptr) {
+    attempt.end = told->end;
     outcome.work = told->work;
     outcome.memory_mb = told->memory_mb;
     outcome.load = std::move(told->load);
     if (result == Result::served && !request.answered)
-      answer(request, AnswerKind::served, Time::zero(), std::move(told->body), std::move(told->shape));
+      serve(request, std::move(told->body), std::move(told->shape));
     if (result != Result::served && !told->body.empty()) request.last_word = std::move(told->body);
   }
   outcome.closed = request.answered;
@@ -337,16 +390,17 @@
   for (const auto& [id, request] : requests_) {
     if (!request.answered) open.push_back(id);
   }
-  for (const auto id : open) give_up(id);
+  for (const auto id : open) give_up(id, "the program ends");
 }
 
-void Reducer::give_up(RequestId id) {
+void Reducer::give_up(RequestId id, const char* reason) {
   auto& request = requests_.at(id);
   const auto& set = settings_.classes[request.asked.cls];
   const bool harmless = request.attempts.empty() || set.effect == heronwell::Effect::safe ||
                         (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all);
   const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
-  harmless ? answer(request, AnswerKind::refused, pause, {}) : answer(request, AnswerKind::failed, {}, {});
+  turn_down(request, harmless ? AnswerKind::refused : AnswerKind::failed, harmless ? pause : Time::zero(),
+            reason);
   for (std::size_t n = 0; n < request.attempts.size(); ++n)
     abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
   news_.push_back(heronwell::ClientLeft{id});
@@ -363,7 +417,7 @@
       return;
     case Alarm::Kind::deadline:
       if (auto* request = find(alarm.id.request); request != nullptr && !request->answered) {
-        answer(*request, AnswerKind::timed_out, Time::zero(), {});
+        turn_down(*request, AnswerKind::timed_out, Time::zero(), "left open until its deadline");
         news_.push_back(heronwell::ClientLeft{alarm.id.request});
         forget_if_done(alarm.id.request);
       }
@@ -404,7 +458,7 @@
 void Reducer::act(const heronwell::Refuse& refuse) {
   auto* request = find(refuse.request);
   if (request == nullptr || request->answered) return;
-  answer(*request, AnswerKind::refused, refuse.pause, {});
+  turn_down(*request, AnswerKind::refused, refuse.pause, refuse.reason);
   forget_if_done(refuse.request);
 }
 
@@ -412,7 +466,7 @@
   auto* request = find(fail.request);
   if (request == nullptr || request->answered) return;
   const bool late = now_ >= request->deadline - kTimedOut;
-  answer(*request, late ? AnswerKind::timed_out : AnswerKind::failed, Time::zero(), {});
+  turn_down(*request, late ? AnswerKind::timed_out : AnswerKind::failed, Time::zero(), fail.reason);
   forget_if_done(fail.request);
 }
 
@@ -441,12 +495,37 @@
 void Reducer::act(heronwell::Tell& tell) { put(TellPeers{tell.to, std::move(tell.bytes)}); }
 void Reducer::act(heronwell::Trace& trace) { put(Log{std::move(trace.text)}); }
 
-void Reducer::answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape) {
-  if (kind != AnswerKind::served) body = request.last_word;
+void Reducer::serve(Request& request, std::string body, std::string shape) {
+  settle(request, {request.asked.client, AnswerKind::served, {}, std::move(body), std::move(shape)});
+}
+
+void Reducer::turn_down(Request& request, AnswerKind kind, Time pause, const char* reason) {
+  log_end(request, name(kind), reason);
+  settle(request, {request.asked.client, kind, pause, request.last_word, {}});
+}
+
+void Reducer::settle(Request& request, Answer answer) {
   request.answered = true;
   by_client_.erase(request.asked.client);
   --owed_;
-  put(Answer{request.asked.client, kind, pause, std::move(body), std::move(shape)});
+  put(std::move(answer));
+}
+
+void Reducer::log_end(const Request& request, const char* how, const char* reason) {
+  if (!line_budget_.take(now_)) return;
+  if (const auto left_out = line_budget_.take_left_out(); left_out > 0)
+    put(Log{std::to_string(left_out) + " lines on requests were left out"});
+  const auto milliseconds = [](Time time) { return std::to_string(time / 1ms) + " ms"; };
+  const auto& asked = request.asked;
+  std::string text = "request " + asked.ticket + " " + settings_.classes[asked.cls].name + " " + how + ": " +
+                     reason + "; after " + milliseconds(now_ - request.taken) + " of " +
+                     milliseconds(asked.limit);
+  for (const auto& attempt : request.attempts) {
+    text += "; engine " + std::to_string(attempt.engine) + " " + stage_name(attempt.stage);
+    if (attempt.end) text += std::string(" ") + name(*attempt.end);
+    text += " since " + milliseconds(now_ - attempt.begun);
+  }
+  put(Log{std::move(text)});
 }
 
 void Reducer::forget_if_done(RequestId id) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -11,6 +11,7 @@
 
 #include "core/events.hpp"
 #include "core/lifecycle.hpp"
+#include "core/request_log.hpp"
 #include "core/start_clock.hpp"
 #include "core/wheel.hpp"
 #include "heronwell/gateway.hpp"
@@ -42,12 +43,13 @@
     EngineId engine = 0;
     Stage stage = Stage::waiting;
     Time begun{}, until{}, leave_by{};  // leave_by: 0 for none
+    std::optional<AttemptEnd> end;      // once over; none if it never began
     bool timed_out = false;
     std::uint8_t priority = 1;
   };
   struct Request {
     Submission asked;
-    Time deadline{};
+    Time taken{}, deadline{};
     bool answered = false;
     bool client_ended = false;  // no further attempt is made for it
     double memory_mb = 0;
@@ -94,9 +96,14 @@
   bool learn_starts(const FleetChange& change);
   void consult();
   void give_up_all();
-  void give_up(RequestId id);
+  void give_up(RequestId id, const char* reason);
   void give_up_unless_it_runs(RequestId id);
-  void answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape = {});
+  void serve(Request& request, std::string body, std::string shape);
+  // Any final answer but "served". `reason` is for the log.
+  void turn_down(Request& request, AnswerKind kind, Time pause, const char* reason);
+  void settle(Request& request, Answer answer);
+  static const char* stage_name(Stage stage);
+  void log_end(const Request& request, const char* how, const char* reason);
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
   void forget_if_done(RequestId id);
@@ -119,6 +126,7 @@
   std::vector<heronwell::Action> actions_;
   RequestId last_request_ = 0;
   std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
+  LineBudget line_budget_;
   StartClock start_clock_;
   bool fleet_told_ = false;
   Time now_{}, called_{};
