--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -216,7 +216,7 @@
       }
       return found.has_value();
     });
-    if (!found) throw std::runtime_error("what was waited for did not happen, after " + describe());
+    if (!found) throw std::runtime_error("what was waited for did not happen, after " + describe_locked());
     return *found;
   }
   std::size_t count(const std::function<bool(const T&)>& fits) {
@@ -224,8 +224,13 @@
     return static_cast<std::size_t>(std::count_if(items_.begin(), items_.end(), fits));
   }
 
+  std::string describe() {
+    const std::lock_guard lock(mutex_);
+    return describe_locked();
+  }
+
  private:
-  [[nodiscard]] std::string describe() const {
+  [[nodiscard]] std::string describe_locked() const {
     if constexpr (std::is_same_v<T, std::string>) {
       std::string out;
       for (const auto& item : items_) out += "\n  " + item;
@@ -468,6 +473,7 @@
     reader_.join();
     return status;
   }
+  std::string everything_said() { return lines_.describe(); }
   std::size_t lines() { return count_said(""); }
   std::size_t count_said(const std::string& what) {
     return lines_.count([&](const std::string& line) { return line.find(what) != std::string::npos; });
