Write the last answers before the program exits

Cause: Lifecycle::advance passed from draining through stopping to exited in one tick. What was given up in that tick was not counted as unwritten, and the front was never told to end its connections: whatever the system had not taken at once was dropped, and input left unread reset the connection.

Evidence: the broker's log goes from 'phase: draining' to 'phase: exited' without 'phase: stopping'.

Change: one phase a tick, so that the next one waits for what has been written meanwhile.

--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -55,18 +55,15 @@
     phase_ = Phase::draining;
     since_ = now;
   }
-  // Moves on as far as what is unanswered (`owed`) and unwritten allows. True if the phase has changed.
+  // Moves on by one phase, if what is unanswered (`owed`) and unwritten allows. True if the phase has
+  // changed. Never by two: what is given up as one phase ends still has to be written in the next.
   bool advance(Time now, bool owed, bool unwritten) {
-    const Phase before = phase_;
     if (!begun_) begun_ = now;
-    const bool ready = listening_ && (fleet_known_ || now >= *begun_ + kMostStart);
-    if (phase_ == Phase::starting && ready) phase_ = Phase::serving;
-    if (phase_ == Phase::draining && !owed && now >= since_ + kLinger) {
-      phase_ = Phase::stopping;
-      since_ = now;
-    }
-    if (phase_ == Phase::stopping && (!unwritten || now >= since_ + kFlush)) phase_ = Phase::exited;
-    return phase_ != before;
+    const Phase next = next_phase(now, owed, unwritten);
+    if (next == phase_) return false;
+    phase_ = next;
+    if (next == Phase::stopping) since_ = now;
+    return true;
   }
 
   [[nodiscard]] Phase phase() const { return phase_; }
@@ -78,6 +75,21 @@
   [[nodiscard]] bool closed() const { return phase_ >= Phase::stopping; }
 
  private:
+  [[nodiscard]] Phase next_phase(Time now, bool owed, bool unwritten) const {
+    switch (phase_) {
+      case Phase::starting:
+        return listening_ && (fleet_known_ || now >= *begun_ + kMostStart) ? Phase::serving : phase_;
+      case Phase::draining:
+        return !owed && now >= since_ + kLinger ? Phase::stopping : phase_;
+      case Phase::stopping:
+        return !unwritten || now >= since_ + kFlush ? Phase::exited : phase_;
+      case Phase::serving:
+      case Phase::exited:
+        break;
+    }
+    return phase_;
+  }
+
   Phase phase_ = Phase::starting;
   bool listening_ = false, fleet_known_ = false;
   std::optional<Time> begun_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -117,6 +117,19 @@
   EXPECT_EQ(life.phase(), Phase::exited);
 }
 
+// What is given up at the last moment is answered then, and not written yet.
+TEST(Lifecycle, DoesNotExitInTheMomentInWhichTheLastRequestIsAnswered) {
+  Lifecycle life;
+  life.listening();
+  life.fleet_known();
+  life.advance(1s, false, false);
+  life.stop(2s);
+  EXPECT_TRUE(life.advance(4s, false, false));
+  EXPECT_EQ(life.phase(), Phase::stopping);
+  EXPECT_TRUE(life.advance(4s, false, false));
+  EXPECT_EQ(life.phase(), Phase::exited);
+}
+
 // A program that is never ready serves nobody, though the change log may come back.
 TEST(Lifecycle, IsReadyInTimeThoughNoEngineIsKnown) {
   Lifecycle life;
