Answer a request that was read just before its connection is told of the end

Found by reading, beside the last answers that were dropped: Front::stop() ended the writing side of every connection, also of one whose request had been read in the same turn of the loop and was not answered yet.

Change: a connection with an open request is told of the end after its answer.

Result: Crossings.ARequestThatWasReadInTheMomentOfTheEndIsAnswered failed before ('the connection has ended').

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -130,7 +130,9 @@
   if (std::exchange(stopped_, true)) return;
   listener_.reset();
   for (const auto& [serial, connection] : connections_) {
-    if (!connection->leaving) part(*connection);
+    connection->dismissed = true;
+    // What is open on it was read just now: its answer comes first.
+    if (!connection->leaving && connection->open.empty()) part(*connection);
   }
 }
 
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -122,6 +122,17 @@
   EXPECT_TRUE(f.until([&] { return !f.front.unwritten(); }));
 }
 
+TEST(Crossings, ARequestThatWasReadInTheMomentOfTheEndIsAnswered) {
+  Fronted f;
+  Client client(f.front.address());
+  client.ask(1, "lookup", kSelect);
+  ASSERT_TRUE(f.until([&] { return f.count<core::Arrived>() == 1; }));
+  f.front.stop();
+  f.front.run(core::Answer{1, core::AnswerKind::refused, 100ms, {}, {}});
+  EXPECT_EQ(client.answer()["error"]["code"], -32066);
+  EXPECT_FALSE(client.socket.more());  // no more is written
+}
+
 // ---- clients that are gone
 
 // One that has closed its side may still read: it is told, but nothing begins for it any more.
