Heed signals though the loop cannot watch its own descriptor

Cause: libev passes signals on through a descriptor. While epoll_ctl failed (ENOMEM) it gave up watching that one, and no signal was heard from then on.

Result: Signals.AreHeededThoughTheLoopCanWatchNoDescriptor failed before (nothing within 20 s) and passes.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -2,11 +2,11 @@
 
 #include <cerrno>
 #include <chrono>
-#include <csignal>
 #include <cstdio>
 #include <cstring>
 #include <thread>
 
+#include "app/signals.hpp"
 #include "core/clock.hpp"
 #include "mysql/engines.hpp"
 #include "platform/engines.hpp"
@@ -103,9 +103,6 @@
       call_(loop),
       prepare_(loop),
       check_(loop),
-      term_(loop),
-      interrupt_(loop),
-      hangup_(loop),
       reload_(loop) {
   const auto share = client_share(config_.sockets);
   front_ = std::make_unique<platform::Front>(
@@ -136,21 +133,11 @@
   call_.set<Broker, &Broker::on_call>(this);
   prepare_.set<Broker, &Broker::on_prepare>(this);
   check_.set<Broker, &Broker::on_check>(this);
-  term_.set<Broker, &Broker::on_signal>(this);
-  interrupt_.set<Broker, &Broker::on_signal>(this);
-  hangup_.set<Broker, &Broker::on_hangup>(this);
   reload_.set<Broker, &Broker::on_reload>(this);
 }
 
 void Broker::run() {
-  std::signal(SIGPIPE, SIG_IGN);
-  term_.start(SIGTERM);
-  interrupt_.start(SIGINT);
-  hangup_.start(SIGHUP);
-  sigset_t heeded;
-  sigemptyset(&heeded);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&heeded, signal);
-  sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
+  SignalFlags::install();
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   polled_ = core::monotonic_now();
@@ -160,6 +147,8 @@
 }
 
 void Broker::on_tick(ev::timer&, int) {
+  if (SignalFlags::take_reload()) post(core::ReloadAsked{});
+  if (SignalFlags::take_stop()) post(core::StopAsked{});
   if (turns_behind_ > 0) return;  // what has come is read before anything is taken for overdue
   watch_wall_clock();
   const auto now = core::monotonic_now();
@@ -182,10 +171,6 @@
 
 void Broker::on_call(ev::timer&, int) { post(core::Tick{unwritten()}); }
 
-void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
-
-void Broker::on_hangup(ev::sig&, int) { post(core::ReloadAsked{}); }
-
 // Called first in each turn of the loop, before anything is read.
 void Broker::on_check(ev::check&, int) {
   const auto before = std::exchange(polled_, core::monotonic_now());
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -36,8 +36,6 @@
   void on_call(ev::timer& timer, int events);
   void on_prepare(ev::prepare& prepare, int events);
   void on_check(ev::check& check, int events);
-  void on_signal(ev::sig& signal, int events);
-  void on_hangup(ev::sig& signal, int events);
   void watch_wall_clock();
   void on_reload(ev::timer& timer, int events);
   void read_configuration(bool tell_problem);
@@ -84,7 +82,6 @@
   ev::timer tick_, call_;
   ev::prepare prepare_;
   ev::check check_;
-  ev::sig term_, interrupt_, hangup_;
   ev::timer reload_;  // the configuration is tried again
   core::Time reload_until_{};
 };
--- a/tests/faults/system_call_test.cpp
+++ b/tests/faults/system_call_test.cpp
@@ -52,6 +52,16 @@
                                                           {FaultyCall::send, FaultyCall::epoll_control}}),
                          [](const auto& instance) { return instance.param.name; });
 
+TEST(Signals, AreHeededThoughTheLoopCanWatchNoDescriptor) {
+  constexpr std::uint32_t kAlways = 1'000'000;  // per million
+  Faults faults;
+  faults->failures_per_million[static_cast<std::size_t>(FaultyCall::epoll_control)] = kAlways;
+  Broker broker({{"s-00000001", "127.0.0.1:1"}}, {}, 0, {}, faults.environment());
+  broker.program->signal(SIGTERM);
+  broker.program->said("phase: exited");
+  EXPECT_EQ(broker.program->wait(), 0);
+}
+
 // The configuration is asked for while it cannot be read, or while it is only half written.
 TEST(Reload, IsTriedAgainUntilTheConfigurationCanBeRead) {
   Faults faults;
