Believe an engine that knows no query only when the statement cannot be on its way

What callers would see: two requests of a key run at once.

Cause: when the connection of a statement breaks, a GET or DELETE on another connection can overtake it. 'Unknown', or the answer to the DELETE, was taken as proof that it had never come.

Change: while nothing has proved that the statement came, the engine has to say so twice, 50 ms apart.

Result: Engines.AStatementThatComesAfterItsEngineDidNotKnowIt... and AfterItsDelete... failed before and pass.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -24,6 +24,8 @@
 constexpr core::Time kAside = 500ms;    // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
 constexpr core::Time kTellPause = 50ms;  // between two tries to have an engine told
+// A statement whose connection has broken may come so long after: another connection can overtake it.
+constexpr core::Time kInFlight = 50ms;
 // A query that nobody has asked for in 2 s ends at its engine; a call that came may be held there for 250 ms.
 constexpr core::Time kForgotten = 2s + 250ms + 150ms;
 constexpr core::Time kReport = 2s;  // between lines in the log
@@ -123,6 +125,10 @@
   tell_again_.advance(now, [this](core::AttemptId id) {
     if (attempts_.contains(id)) tell(id);
   });
+  ask_again_.advance(now, [this](core::AttemptId id) {
+    const auto found = attempts_.find(id);
+    if (found != attempts_.end() && found->second.stage == Stage::polling) ask(id);
+  });
   forgotten_.advance(now, [this](core::AttemptId id) {
     if (attempts_.contains(id)) forgotten(id);
   });
@@ -252,11 +258,18 @@
                            const auto found = attempts_.find(id);
                            if (found == attempts_.end()) return;
                            if (how != End::answered) return tell_again_.arm(now_ + kTellPause, id);
+                           if (!believe_denial(found->second)) return tell_again_.arm(now_ + kInFlight, id);
                            const auto given_up = found->second.given_up;
                            end(id, given_up == AttemptEnd::reset ? AttemptEnd::lost : given_up);
                          });
 }
 
+bool Engines::believe_denial(Attempt& attempt) const {
+  if (!attempt.doubtful) return true;
+  if (attempt.denied == core::Time::zero()) attempt.denied = now_;
+  return now_ >= attempt.denied + kInFlight;
+}
+
 bool Engines::forgotten(AttemptId id) {
   auto& attempt = attempts_.at(id);
   if (calls_.contains(attempt.call)) attempt.asked = now_;
@@ -330,12 +343,12 @@
     return let_go(attempt);
   }
   if (how != End::answered) {
-    if (attempt.stage == Stage::leaving) return give_up(id, AttemptEnd::withdrawn);
     if (posting && how == End::unsent) return end(id, AttemptEnd::expired);
     // Once a byte of a statement has left, it may have run, and is never sent again from here. Neither
     // silence nor an answer that breaks off or can't be read tells whether it runs: the engine is asked for
     // its news.
     attempt.doubtful = attempt.doubtful || posting;
+    if (attempt.stage == Stage::leaving) return give_up(id, AttemptEnd::withdrawn);
     attempt.stage = attempt.stage == Stage::posted ? Stage::polling : attempt.stage;
     return reconnect(id);
   }
@@ -370,6 +383,11 @@
   const bool never_ran = answer.header("x-shed") == "1" && attempt.next_page == 0;
   if (never_ran && answer.status == 503) return end(id, AttemptEnd::turned_away);
   if (never_ran && answer.status == 504) return end(id, AttemptEnd::expired);
+  if (attempt.stage != Stage::paging && !believe_denial(attempt)) {
+    attempt.reconnects = 0;
+    let_go(attempt);
+    return ask_again_.arm(now_ + kInFlight, id);
+  }
   // An engine that does not know it may never have got it.
   end(id, attempt.doubtful ? AttemptEnd::lost : AttemptEnd::error);
 }
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -51,7 +51,8 @@
     int reconnects = 0;  // in a row, without a good answer in between
     core::Time asked{};  // the engine may have heard a call for it until then
     core::AttemptEnd given_up = core::AttemptEnd::withdrawn;  // how it ends once that is settled
-    bool doubtful = false;             // nothing has proved yet that the statement has come
+    bool doubtful = false;  // nothing has proved yet that the statement has come
+    core::Time denied{};    // its engine has first said so while it was doubtful: that it has no such query
     std::optional<std::uint8_t> rank;  // a priority to be told once the engine knows the query
     core::AttemptEnded result;
   };
@@ -74,6 +75,9 @@
   // Ends it once the engine has been told, or has ended the query itself.
   void give_up(core::AttemptId id, core::AttemptEnd how);
   void tell(core::AttemptId id);
+  // The engine says that it has no such query. False: that proves nothing yet, since the statement may be on
+  // its way.
+  bool believe_denial(Attempt& attempt) const;
   bool forgotten(core::AttemptId id);  // true: its engine has ended it by now, and so has this
   void release(Connection& connection);
   void let_go(Attempt& attempt);  // of its connection, if no call is out on it
@@ -89,7 +93,7 @@
   std::unordered_map<core::EngineId, std::string> addresses_;
   core::TimerWheel<std::uint64_t> patience_{std::chrono::milliseconds(5)};
   core::TimerWheel<core::AttemptId> tell_again_{std::chrono::milliseconds(5)},
-      forgotten_{std::chrono::milliseconds(5)};
+      ask_again_{std::chrono::milliseconds(5)}, forgotten_{std::chrono::milliseconds(5)};
   std::uint64_t serial_ = 0;
   // Since the last report to the log: how calls have ended, and attempts.
   std::array<std::size_t, static_cast<std::size_t>(End::silent) + 1> call_ends_{};
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -448,5 +448,32 @@
   EXPECT_EQ(d.wait<core::AttemptEnded>().body, "second\ty\tz\n");
 }
 
+// Its connection broke with the statement on the way, and another one was faster.
+TEST(Engines, AStatementThatComesAfterItsEngineDidNotKnowItIsFollowedToItsEnd) {
+  std::atomic<int> polls = 0;
+  HttpEngine engine([&](const Call& call) -> std::optional<std::string> {
+    if (call.method == "POST") return std::nullopt;
+    return polls++ == 0 ? http(500) : rows("x\ty\tz\n");
+  });
+  Driven d(engine);
+  d.start();
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::served);
+}
+
+TEST(Engines, AStatementThatComesAfterItsDeleteIsDeletedOnceMore) {
+  std::promise<void> over;
+  HttpEngine engine([&, wait = over.get_future().share()](const Call& call) {
+    if (call.method == "POST") wait.wait();
+    return http(204);
+  });
+  const std::shared_ptr<void> freed(nullptr, [&](void*) { over.set_value(); });
+  Driven d(engine);
+  d.start();
+  d.until(engine, [](const Call& c) { return c.method == "POST"; });
+  d.run(core::Abandon{d.id});
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::withdrawn);
+  EXPECT_EQ(engine.calls.count(gone), 2U);
+}
+
 }  // namespace
 }  // namespace bellstair::test
