Let the fault suite tell histories, and hold late requests to their answers

Violations name what befell both requests. Strict runs also fail where a request that was sent after the end began meets the end of its connection more than 150 ms later. Engines that stand still count a query as out from when it came, as the protocol says; proxies pass on nothing that its sender has taken back.

--- a/tests/faults/emulated_engine.hpp
+++ b/tests/faults/emulated_engine.hpp
@@ -36,10 +36,7 @@
     while (true) {
       const auto call = read_call(socket);
       if (socket.broken()) return;  // its caller has taken it back
-      stand_still();
-      if (socket.broken()) return;
-      const auto answer = reply(call);
-      socket.send(answer);
+      socket.send(reply(call));
     }
   }
 
@@ -52,47 +49,57 @@
     if (call.method == "POST") return start(call.headers.at("X-Ticket"));
     const auto name = call.path.substr(std::string("/v1/store/").size());
     const auto ticket = name.substr(0, name.find('/'));
-    if (call.method == "DELETE") return remove(ticket);
+    if (call.method == "DELETE") return remove(ticket, "deleted");
     return call.method == "GET" ? news(ticket) : http(204);
   }
 
+  // A query is out from when it has come whole, also where the engine stands still then.
   std::string start(const std::string& ticket) {
-    const double luck = draw();
+    const double luck = draw(), work = draw();
     if (luck < behaviour_.shed) return http(503, {}, "X-Shed: 1\r\n");
     record_.begins(ticket);
     if (luck < behaviour_.shed + behaviour_.error) {
-      record_.ended(ticket);
+      record_.ended(ticket, "error");
       return http(500, "it failed");
     }
-    const auto work = std::chrono::duration_cast<SteadyClock::duration>(behaviour_.longest_work * draw());
     {
       const std::lock_guard lock(mutex_);
-      ends_[ticket] = SteadyClock::now() + work;
+      ends_[ticket] = SteadyClock::now() +
+                      std::chrono::duration_cast<SteadyClock::duration>(behaviour_.longest_work * work);
     }
     return news(ticket);
   }
 
   std::string news(const std::string& ticket) {
-    const auto hold_until = SteadyClock::now() + kHold;
-    SteadyTime end;
-    {
-      const std::lock_guard lock(mutex_);
-      const auto found = ends_.find(ticket);
-      if (found == ends_.end()) return http(500, "unknown");
-      end = found->second;
-    }
+    const auto known = end_of(ticket);
+    if (!known) return unknown();
+    const auto end = *known;
     const bool alive = record_.runs(ticket);
     const bool over = SteadyClock::now() >= end;
-    if (!alive && !over) return remove(ticket, 500);  // nobody asked for it
+    if (!alive && !over) return remove(ticket, "died unasked", 500);
     record_.asked(ticket);
+    stand_still();
+    const auto hold_until = SteadyClock::now() + kHold;
     while (SteadyClock::now() < std::min(end, hold_until)) std::this_thread::sleep_for(kStep);
     if (SteadyClock::now() < end) return http(202);
-    record_.ended(ticket);
+    record_.ended(ticket, "done");
     return rows(ticket + "\ty\tz\n");
   }
 
-  std::string remove(const std::string& ticket, int status = 204) {
-    record_.ended(ticket);
+  std::optional<SteadyTime> end_of(const std::string& ticket) {
+    const std::lock_guard lock(mutex_);
+    const auto found = ends_.find(ticket);
+    return found == ends_.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  std::string unknown() const {
+    stand_still();
+    return http(500, "unknown");
+  }
+
+  std::string remove(const std::string& ticket, const char* why, int status = 204) {
+    stand_still();
+    record_.ended(ticket, why);
     const std::lock_guard lock(mutex_);
     ends_.erase(ticket);
     return http(status);
--- a/tests/faults/fault_proxy.hpp
+++ b/tests/faults/fault_proxy.hpp
@@ -59,7 +59,8 @@
 
   bool pass(Socket& from, Socket& to) {
     from.in.clear();
-    if (!from.more() || chance(faults_.reset_later)) return false;
+    // What its sender has taken back is not passed on, though it may have come this far.
+    if (!from.more() || from.broken() || chance(faults_.reset_later)) return false;
     std::this_thread::sleep_for(faults_.longest_delay * draw());
     if (from.in.size() < 2 || !chance(faults_.split)) return to.send(from.in);
     const auto half = from.in.size() / 2;
--- a/tests/faults/run_record.hpp
+++ b/tests/faults/run_record.hpp
@@ -22,7 +22,10 @@
  public:
   void taken(const std::string& ticket, RequestEffect effect, const std::string& key) {
     const std::lock_guard lock(mutex_);
-    requests_[ticket] = {effect, key, 0, false, {}, {}};
+    auto& request = requests_[ticket];
+    request.effect = effect;
+    request.key = key;
+    note(request, "sent");
   }
 
   // A statement has come whole and begins to run.
@@ -36,21 +39,27 @@
       violate("unsafe request ran twice: " + ticket);
     for (const auto& [other, earlier] : requests_) {
       if (other != ticket && !request.key.empty() && earlier.key == request.key && earlier.out(now))
-        violate("request " + ticket + " began while " + other + " of the same key still ran");
+        violate("request " + ticket + " (" + request.history + ") began while " + other + " (" +
+                earlier.history + ") of the same key still ran");
     }
     ++request.runs;
     request.running = true;
     request.last_asked = now;
+    note(request, "begins");
   }
 
   void asked(const std::string& ticket) {
     const std::lock_guard lock(mutex_);
-    requests_[ticket].last_asked = SteadyClock::now();
+    auto& request = requests_[ticket];
+    request.last_asked = SteadyClock::now();
+    note(request, "asked for");
   }
 
-  void ended(const std::string& ticket) {
+  void ended(const std::string& ticket, const char* how) {
     const std::lock_guard lock(mutex_);
-    requests_[ticket].running = false;
+    auto& request = requests_[ticket];
+    request.running = false;
+    note(request, how);
   }
 
   // True: its engine runs it still.
@@ -71,6 +80,7 @@
     if (!request.answer.empty()) violate("second answer for " + ticket);
     request.answer = answer == Answer::served ? "served" : answer == Answer::refused ? "refused" : "failed";
     ++answers_[request.answer];
+    note(request, request.answer.c_str());
     if (answer == Answer::refused && request.effect == RequestEffect::unsafe && request.runs > 0)
       violate("unsafe request was refused though it ran: " + ticket);
     if (answer == Answer::served && request.runs == 0)
@@ -99,10 +109,16 @@
     bool running = false;
     SteadyTime last_asked;
     std::string answer;
+    std::string history;  // what befell it, and when in ms
     [[nodiscard]] bool out(SteadyTime now) const { return running && now < last_asked + kUnaskedLife; }
   };
+  void note(Request& request, const char* what) const {
+    const auto at = (SteadyClock::now() - began_) / std::chrono::milliseconds(1);
+    request.history += (request.history.empty() ? "" : ", ") + std::to_string(at) + " " + what;
+  }
   void violate(const std::string& what) { violations_.push_back(what); }
 
+  const SteadyTime began_ = SteadyClock::now();
   std::mutex mutex_;
   std::map<std::string, Request> requests_;  // by ticket
   std::vector<std::string> violations_;
--- a/tests/faults/suite_test.cpp
+++ b/tests/faults/suite_test.cpp
@@ -71,6 +71,7 @@
     TrafficClient::Habits habits;
     habits.loads_are_unsafe = loads_are_unsafe();
     habits.connections_may_break = calls_break_connections();
+    habits.ends_cross_at_once = strict();
     for (int i = 0; i < (crowded() ? kCrowd : kClients); ++i)
       clients_.push_back(
           std::make_unique<TrafficClient>(record_, states_, random_() >> 32, habits, clients_stopped_));
--- a/tests/faults/traffic.hpp
+++ b/tests/faults/traffic.hpp
@@ -31,6 +31,8 @@
     std::chrono::milliseconds longest_idle{60};
     bool loads_are_unsafe = false;
     bool connections_may_break = false;  // system calls of the broker fail so that they do
+    // While the broker ends, a connection's end may only meet requests that were sent just before.
+    bool ends_cross_at_once = false;
   };
 
   TrafficClient(RunRecord& record, const std::vector<std::unique_ptr<BrokerState>>& brokers,
@@ -54,6 +56,8 @@
   };
   using PendingById = std::map<int, Pending>;
   static constexpr auto kPause = 20ms;
+  // 50 ms by the protocol; the rest is for the test's own threads.
+  static constexpr auto kLongestCrossing = 150ms;
   static constexpr int kKeys = 4;
 
   void run() {
@@ -163,8 +167,7 @@
   // A request may cross the end of a connection at rest. One that has run was taken, and is owed its answer.
   void connection_ended(const PendingById& pending) {
     for (const auto& [id, one] : pending) {
-      if (one.cancelled || habits_.connections_may_break || !broker_->owes(one.sent)) continue;
-      if (!record_.ever_ran(one.ticket)) continue;
+      if (one.cancelled || habits_.connections_may_break || may_end(one)) continue;
       const auto since_told = [this](SteadyTime time) {
         return std::to_string((time.time_since_epoch() - SteadyClock::duration(broker_->told_to_end)) / 1ms);
       };
@@ -174,6 +177,12 @@
     }
   }
 
+  // True: the connection's end lost nothing that was owed.
+  [[nodiscard]] bool may_end(const Pending& one) {
+    if (broker_->owes(one.sent)) return !record_.ever_ran(one.ticket);
+    return !habits_.ends_cross_at_once || SteadyClock::now() - one.sent <= kLongestCrossing;
+  }
+
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
   RunRecord& record_;
