--- a/src/policy/load_reports.cpp
+++ b/src/policy/load_reports.cpp
@@ -110,7 +110,8 @@
   }
   const auto bytes = encode(text);
   const auto size = static_cast<double>(bytes.size());
-  for (; tell_bytes_ >= size; tell_bytes_ -= size) {
+  while (tell_bytes_ >= size) {
+    tell_bytes_ -= size;
     const auto to = static_cast<std::uint32_t>(random_() % (s_.gateways - 1));
     put(Tell{to < s_.me ? to : to + 1, bytes});
   }
@@ -135,8 +136,9 @@
   if (!few_ || request.look_until > Time::zero()) return few_ && request.look_until > now_;
   request.look_until = now_;
   const bool heavy = 2 * classes_[request.asked.cls].work > heaviest();
-  for (auto* engine : engines | std::views::take(heavy ? kProbesHeavy : 1))
-    if (probe(*engine, heavy ? 0 : kProbesHeavy - 1)) request.look_until = now_ + kProbeWait;
+  const auto most = std::min<std::size_t>(engines.size(), heavy ? kProbesHeavy : 1);
+  for (std::size_t i = 0; i < most; ++i)
+    if (probe(*engines[i], heavy ? 0 : kProbesHeavy - 1)) request.look_until = now_ + kProbeWait;
   return request.look_until > now_;
 }
 
