--- a/review/lib/stand_ins.hpp
+++ b/review/lib/stand_ins.hpp
@@ -134,6 +134,7 @@
     return true;
   }
   void shut_down() { ::shutdown(fd_, SHUT_RDWR); }
+  [[nodiscard]] int fd() const { return fd_; }
   void reset_on_close() {
     const linger discard{1, 0};
     ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
