Fetch a result page again if rows of it follow behind its length

What callers saw: an answer 'served' with the first rows of the result only.

Cause: a page was taken to end where the length in its head said. If that length was too short, the rest of the page was in the same read, HttpResponseParser::feed dropped it as bytes behind the response, and Engines::append_page took any part that ended at a row's end, or an empty one.

The new test shows the same for each kind of page: in the response to the statement, to a poll and to a page request.

Change: the parser keeps what it received behind a response, and a page is accepted only if that does not begin with a row that would fit the page. Otherwise it is fetched again on another connection, as other damaged pages are; the statement is never sent again. A second copy, noise and interim responses do not look like a row, so those pages are accepted at once, as before. The log's line on engines counts pages that were fetched again, and those whose length was too short.

Tests: FetchesAPageAgainIfItsLengthIsTooShort and DoesNotServeAResultWhosePagesAreAlwaysTooShort failed before the change. AcceptsGoodPagesThatAreAllFollowedByACopyOrNoise passed before and after; it guards what must stay served.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -52,6 +52,13 @@
   return true;
 }
 
+// True if the bytes received behind a page begin with what may be its next row. The length in the head of the
+// page is too short then. A second copy of the response or noise behind a good page does not look like a row.
+bool may_continue_page(std::string_view page, std::string_view excess) {
+  const auto row = excess.substr(0, excess.find('\n') + 1);  // empty without a line feed
+  return !row.empty() && page.size() + row.size() <= kMaxPageBytes && complete_rows(row);
+}
+
 std::string query_path(const std::string& ticket) { return "/v1/store/" + ticket; }
 }  // namespace
 
@@ -159,16 +166,18 @@
                "bellstair: engines: %s; connects %zu started, %zu failed, %zu timed out, %zu reset; "
                "connections %zu assigned, %zu closed by peer, %zu lost while idle, %zu idle timeouts, "
                "%zu evicted, %zu exhausted; calls %zu responded, %zu unsent, %zu broken, %zu timed out; "
+               "pages %zu damaged, %zu too short; "
                "attempts %zu in flight, %zu served, %zu error, %zu rejected, %zu expired, "
                "%zu connect failed, %zu connection reset, %zu query dropped, %zu cancelled\n",
                pool_.state().c_str(), counts.started, counts.failed, counts.timed_out, counts.reset,
                counts.assigned, counts.closed_by_peer, counts.lost_idle, counts.idle_timeouts, counts.evicted,
                counts.exhausted, call(CallOutcome::responded), call(CallOutcome::unsent),
-               call(CallOutcome::broken), call(CallOutcome::timed_out), attempts_.size(),
-               attempt(AttemptOutcome::served), attempt(AttemptOutcome::error),
-               attempt(AttemptOutcome::rejected), attempt(AttemptOutcome::expired),
-               attempt(AttemptOutcome::connect_failed), attempt(AttemptOutcome::connection_reset),
-               attempt(AttemptOutcome::query_dropped), attempt(AttemptOutcome::cancelled));
+               call(CallOutcome::broken), call(CallOutcome::timed_out), std::exchange(damaged_pages_, 0),
+               std::exchange(too_short_pages_, 0), attempts_.size(), attempt(AttemptOutcome::served),
+               attempt(AttemptOutcome::error), attempt(AttemptOutcome::rejected),
+               attempt(AttemptOutcome::expired), attempt(AttemptOutcome::connect_failed),
+               attempt(AttemptOutcome::connection_reset), attempt(AttemptOutcome::query_dropped),
+               attempt(AttemptOutcome::cancelled));
 }
 
 // ---- effects
@@ -386,6 +395,7 @@
   }
   if (response.status == 200) {
     if (!append_page(attempt, response)) {
+      ++damaged_pages_;
       // Damaged in transit: the engine still has the page and sends it again. The connection is discarded.
       if (attempt.connection != nullptr) pool_.discard(*std::exchange(attempt.connection, nullptr));
       if (attempt.stage == Stage::cancelling) return end_attempt(id, AttemptOutcome::cancelled);
@@ -413,6 +423,10 @@
 
 bool Engines::append_page(Attempt& attempt, HttpResponse& response) {
   auto& result = attempt.result;
+  if (may_continue_page(response.body, response.excess)) {
+    ++too_short_pages_;
+    return false;
+  }
   if (!complete_rows(response.body) || result.body.size() + response.body.size() > kMaxResultBytes)
     return false;
   if (attempt.next_page == 0) {
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -86,7 +86,7 @@
   // Asks for the state of the query, or for its next page.
   void poll(core::AttemptId id);
   void reconnect(core::AttemptId id);
-  // Adds a page to the result. Returns false if the page is damaged.
+  // Adds a page to the result. Returns false if the page is damaged or incomplete.
   bool append_page(Attempt& attempt, HttpResponse& response);
   // Reports the outcome and erases the attempt.
   void end_attempt(core::AttemptId id, core::AttemptOutcome outcome);
@@ -119,6 +119,8 @@
   // How calls and attempts have ended since the last log line.
   std::array<std::size_t, static_cast<std::size_t>(CallOutcome::timed_out) + 1> call_outcomes_{};
   std::array<std::size_t, static_cast<std::size_t>(core::AttemptOutcome::cancelled) + 1> attempt_outcomes_{};
+  // Pages that were fetched again since the last log line; of these, the ones whose length was too short.
+  std::size_t damaged_pages_ = 0, too_short_pages_ = 0;
   core::Time now_{}, last_logged_{};
 };
 
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -103,7 +103,8 @@
     return header_bytes <= kMaxHeaderBytes && (used == bytes.size() || feed(bytes.substr(used)));
   }
   if (complete_) {
-    if (used < bytes.size()) response_.keep_alive = false;
+    response_.excess = bytes.substr(used);
+    if (!response_.excess.empty()) response_.keep_alive = false;
     return true;
   }
   return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && used == bytes.size();
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -16,6 +16,7 @@
   unsigned status = 0;
   std::map<std::string, std::string, std::less<>> headers;  // names in lower case
   std::string body;
+  std::string excess;      // what was received behind the response
   bool keep_alive = true;  // the connection may be used again
   // The value of a header; empty if there is none.
   [[nodiscard]] std::string_view header(std::string_view lower_case_name) const;
@@ -38,7 +39,8 @@
   // Prepares for a new response.
   void reset();
   // Parses the bytes. Returns false if they are not valid HTTP or the response is too large. If bytes follow
-  // a complete response, the response is valid, but its connection must not be used again.
+  // a complete response, it is valid HTTP, but its connection must not be used again. Its length may be wrong
+  // then: only the caller can tell whether the excess bytes belong to the body.
   [[nodiscard]] bool feed(std::string_view bytes);
   // To be called at the end of the connection; true if the response is complete by that.
   [[nodiscard]] bool finish();
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -235,6 +235,88 @@
   }
 }
 
+const std::string kFirstPage = "a\tb\tc\nd\te\tf\ng\th\ti\n", kSecondPage = "x\ty\tz\nu\tv\tw\n";
+
+// The response to a finished query's statement or poll, or to a request for its second and last page.
+std::string two_page_response(const HttpRequest& request) {
+  return request.path.ends_with("/1") ? http_response(200, kSecondPage, "Result-Page: 1\r\n")
+                                      : rows_response(kFirstPage, 2);
+}
+
+// The response with `length` in its head, whatever the length of its body is.
+std::string with_length(const std::string& response, std::size_t length) {
+  const std::string kName = "Content-Length: ";
+  const auto begin = response.find(kName) + kName.size();
+  return response.substr(0, begin) + std::to_string(length) + response.substr(response.find("\r\n", begin));
+}
+
+// Guards against a result with rows missing: a length that is too short ends a page at the end of a row, and
+// the rest of the page follows.
+TEST(HttpEngineDriver, FetchesAPageAgainIfItsLengthIsTooShort) {
+  const std::function<bool(const HttpRequest&)> kSpoiltRequests[] = {
+      [](const HttpRequest& request) { return request.method == "POST"; },
+      [](const HttpRequest& request) { return request.path.ends_with("/0"); },
+      [](const HttpRequest& request) { return request.path.ends_with("/1"); }};
+  for (std::size_t spoilt_request = 0; spoilt_request < std::size(kSpoiltRequests); ++spoilt_request) {
+    for (const std::size_t length : {0U, 6U}) {
+      for (const std::string& behind_page :
+           {std::string(), rows_response("x\ty\tz\n"), std::string("noise")}) {
+        std::atomic<bool> spoilt = false;
+        HttpEngine engine([&](const HttpRequest& request) {
+          if (spoilt_request == 1 && request.method == "POST") return http_response(202);
+          const auto response = two_page_response(request);
+          if (!kSpoiltRequests[spoilt_request](request) || spoilt.exchange(true)) return response;
+          return with_length(response, length) + behind_page;
+        });
+        TestDriver driver(engine);
+        driver.frozen_time = driver.driver_now();  // so that no timeout fires on a slow machine
+        driver.start_attempt();
+        const auto ended = driver.wait_for_event<core::AttemptEnded>();
+        EXPECT_TRUE(spoilt);
+        EXPECT_EQ(ended.outcome, AttemptOutcome::served);
+        EXPECT_EQ(ended.body, kFirstPage + kSecondPage)
+            << "spoilt request " << spoilt_request << ", length " << length << ", behind it " << behind_page;
+        EXPECT_EQ(engine.post_count(), 1U);
+      }
+    }
+  }
+}
+
+// Guards against serving a result whose pages never fit their lengths; its statement is not sent again
+// either.
+TEST(HttpEngineDriver, DoesNotServeAResultWhosePagesAreAlwaysTooShort) {
+  HttpEngine engine([](const HttpRequest& request) {
+    return is_delete(request) ? http_response(204) : with_length(two_page_response(request), 6);
+  });
+  TestDriver driver(engine);
+  driver.start_attempt();
+  const auto ended = driver.wait_for_event<core::AttemptEnded>();
+  EXPECT_EQ(ended.outcome, AttemptOutcome::query_dropped);
+  EXPECT_TRUE(ended.body.empty());
+  EXPECT_EQ(engine.post_count(), 1U);
+}
+
+// Guards against rejecting good pages because of what follows them: engines may send a second copy or noise
+// behind each.
+TEST(HttpEngineDriver, AcceptsGoodPagesThatAreAllFollowedByACopyOrNoise) {
+  const std::string kCopy = "copy";
+  for (const std::string& behind_page :
+       {kCopy, std::string("noise"), std::string("\n"), std::string("a\tb"), std::string("a\tb\nc\td\te\n"),
+        std::string("a\0\tb\tc\n", 7), "a\tb\t" + std::string(6000, 'c') + "\n"}) {
+    HttpEngine engine([&](const HttpRequest& request) {
+      const auto response = two_page_response(request);
+      return response + (behind_page == kCopy ? response : behind_page);
+    });
+    TestDriver driver(engine);
+    driver.frozen_time = driver.driver_now();
+    driver.start_attempt();
+    const auto ended = driver.wait_for_event<core::AttemptEnded>();
+    EXPECT_EQ(ended.outcome, AttemptOutcome::served) << behind_page;
+    EXPECT_EQ(ended.body, kFirstPage + kSecondPage) << behind_page;
+    EXPECT_EQ(engine.requests.count(is_poll), 1U) << behind_page;  // of the second page
+  }
+}
+
 TEST(HttpEngineDriver, UnknownQueryAfterAnInterruptedStatementIsReportedAsDropped) {
   HttpEngine engine([](const HttpRequest& request) -> std::optional<std::string> {
     if (request.method == "POST") return std::nullopt;
