Answer every whole request on a connection whose line was rejected

What callers saw: while bad clients send half requests, a client with a report open writes a load in two pieces and gets the error 'a line is too long', without an id, for 6 KB.

Cause: Front::reject_input set ignores_input, and while a request was open on the connection all that came was dropped without a word. Four things led there: the line that made the incomplete lines of all clients exceed 4 MiB, whoever wrote it; a line of over 256 KiB; a line that took 2 s, however steadily it came; and 64 invalid lines.

The new tests show the same for each of the four ways.

Change: a rejected line costs that line only. Its error names the request if its id is known, the rest of it is skipped, and the lines behind it are read. A connection ends, as before, at once if it has no open request, else when the last one is answered or cancelled, if a rejected line has not ended by then or too many lines were invalid; until then each request gets an answer, at least a refusal. When incomplete lines fill the memory, the one that has cost most (bytes by time since its last piece) is refused, those of clients without a request first. Only clients that never sent a request are timed, by their silence instead of the length of the line. Bad clients get their error as before.

Tests: nine of the ten new Front tests failed before the change (with an accessor added for them); RejectedLineWithTheIdOfAnOpenRequestIsNotNamed and the JsonRpc test guard new code. The front's test harness moves to a header, since two files use it now.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,15 +1,15 @@
 #include "platform/front.hpp"
 
 #include <algorithm>
-#include <cstdio>
+#include <tuple>
 
 namespace bellstair::platform {
 namespace {
 using namespace std::chrono_literals;
-// A client must get a response, an error or a close within 3 s. kLineTimeout is the time for its first
-// request and for any line to be complete; kLingerTimeout the time to read the last output, while
-// further input is read and dropped.
-constexpr core::Time kLineTimeout = 2s, kLingerTimeout = 800ms;
+// A client must get a response, an error or a close within 3 s. Before its first request it must not be
+// silent for longer than kSilenceTimeout, unless it has completed a line. kLingerTimeout is the time to read
+// the last output, while further input is read and dropped.
+constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
 }  // namespace
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::NameIndex& names,
@@ -59,7 +59,7 @@
   auto& unidentified = by_rank_[static_cast<std::size_t>(EvictionRank::unidentified)];
   connection.rank_position = unidentified.insert(unidentified.end(), &connection);
   connections_.emplace(connection.id, std::move(created));
-  arm_timer(connection, now_ + kLineTimeout);
+  arm_timer(connection, now_ + kSilenceTimeout);
   connection.stream.set_handlers({
       .connected = {},
       .data = [this, &connection](std::string_view bytes) { on_data(connection, bytes); },
@@ -85,7 +85,8 @@
   timers_.arm(at, connection.id);
 }
 
-// Clients that send nothing, or never complete a line, use up connections and memory that others need.
+// Clients that send nothing, or never complete a request, use up connections and memory that others need.
+// Those that have sent a request may write the next one as slowly as they like.
 void Front::tick(core::Time now) {
   now_ = now;
   timers_.advance(now, [this](std::uint64_t connection_id) {
@@ -95,10 +96,11 @@
     connection.timer_armed = false;
     if (connection.half_closed && now_ >= connection.timeout_start + kLingerTimeout) return close(connection);
     if (connection.half_closed) return arm_timer(connection, connection.timeout_start + kLingerTimeout);
+    if (connection.request_received) return;
     if (connection.line_received && connection.partial_line.empty()) return;
-    if (now_ < connection.timeout_start + kLineTimeout)
-      return arm_timer(connection, connection.timeout_start + kLineTimeout);
-    reject_input(connection, "no whole request came");
+    if (now_ < connection.timeout_start + kSilenceTimeout)
+      return arm_timer(connection, connection.timeout_start + kSilenceTimeout);
+    reject_line(connection, kRpcInvalidRequest, "no whole request came");
   });
 }
 
@@ -117,12 +119,40 @@
   connections_.erase(found);
 }
 
-void Front::reject_input(Connection& connection, std::string_view reason) {
-  connection.stream.write(rpc_error(std::nullopt, -32600, reason));
+void Front::reject_line(Connection& connection, int code, std::string_view reason) {
+  auto id = rpc_id_of_incomplete_line(connection.partial_line);
+  if (id && connection.open_requests.contains(*id))
+    id.reset();  // it would be the response to the open request
+  connection.stream.write(rpc_error(id, code, reason));
   partial_bytes_ -= std::exchange(connection.partial_line, {}).size();
-  connection.ignores_input = true;
-  if (connection.open_requests.empty())
-    half_close(connection);  // otherwise after its open requests, which were accepted, are answered
+  connection.skips_line = true;
+  count_protocol_error(connection);
+}
+
+bool Front::end_if_unusable(Connection& connection) {
+  const bool unusable = stopped_ || connection.skips_line || connection.rejects_requests;
+  if (!unusable || connection.half_closed || !connection.open_requests.empty()) return false;
+  half_close(connection);
+  return true;
+}
+
+void Front::limit_partial_bytes() {
+  while (partial_bytes_ > kMaxPartialBytes)
+    reject_line(costliest_partial_line(), kRpcRejected, "too much incomplete input");
+}
+
+// Clients that never sent a request come first. Among them it is the line that has used most memory for the
+// longest time since its client last sent a part of it: short lines and those being received right now come
+// last.
+Front::Connection& Front::costliest_partial_line() {
+  const auto cost = [this](const Connection& connection) {
+    const auto size = connection.partial_line.size();
+    const auto silent_ms = static_cast<std::size_t>((now_ - connection.timeout_start) / 1ms);
+    return std::tuple(size > 0, !connection.request_received, size * silent_ms, size);
+  };
+  const auto found =
+      std::ranges::max_element(connections_, {}, [&cost](const auto& entry) { return cost(*entry.second); });
+  return *found->second;
 }
 
 void Front::half_close(Connection& connection) {
@@ -138,45 +168,51 @@
 void Front::stop() {
   if (std::exchange(stopped_, true)) return;
   listener_.reset();
-  for (const auto& [connection_id, connection] : connections_) {
-    connection->ignores_input = true;
-    // Its open requests have only just been read, and are answered first.
-    if (!connection->half_closed && connection->open_requests.empty()) half_close(*connection);
+  // Open requests have only just been read, and are answered before their connection is half-closed.
+  for (const auto& [connection_id, connection] : connections_) end_if_unusable(*connection);
+}
+
+void Front::count_protocol_error(Connection& connection) {
+  if (++connection.protocol_errors == kMaxProtocolErrors) {
+    connection.stream.write(rpc_error(std::nullopt, kRpcInvalidRequest, "too many lines of no use"));
+    connection.rejects_requests = true;
   }
+  end_if_unusable(connection);
 }
 
-void Front::count_protocol_error(Connection& connection, const std::string& response) {
-  connection.stream.write(response);
-  if (++connection.protocol_errors == kMaxProtocolErrors)
-    reject_input(connection, "too many lines of no use");
+bool Front::reads_lines(const Connection& connection) const {
+  return connection.stream.open() && !connection.half_closed && !stopped_;
 }
 
 void Front::on_data(Connection& connection, std::string_view bytes) {
-  // Complete lines are parsed in place; only an incomplete line is copied.
-  while (connection.stream.open() && !connection.ignores_input && !connection.half_closed) {
+  while (reads_lines(connection)) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
-    if (connection.partial_line.empty()) {
-      on_line(connection, bytes.substr(0, end));
-    } else {
-      partial_bytes_ -= connection.partial_line.size();
-      const auto line = std::exchange(connection.partial_line, {}).append(bytes.substr(0, end));
-      on_line(connection, line);
-    }
+    on_line_end(connection, bytes.substr(0, end));
     bytes.remove_prefix(end + 1);
   }
-  if (!connection.stream.open() || connection.ignores_input || connection.half_closed) return;
+  if (!reads_lines(connection)) return;
   update_rank(connection);
-  if (bytes.empty()) return;
-  if (connection.partial_line.size() + bytes.size() > kMaxLineBytes ||
-      partial_bytes_ + bytes.size() > kMaxPartialBytes)
-    return reject_input(connection, "a line is too long");
-  if (connection.partial_line.empty() && connection.line_received) {
-    connection.timeout_start = now_;
-    arm_timer(connection, now_ + kLineTimeout);
-  }
+  if (!bytes.empty() && !connection.skips_line) on_partial_line(connection, bytes);
+}
+
+// A line that was received at once is parsed in place; only an incomplete line is copied.
+void Front::on_line_end(Connection& connection, std::string_view bytes) {
+  if (std::exchange(connection.skips_line, false)) return;
+  if (connection.partial_line.empty()) return on_line(connection, bytes);
+  partial_bytes_ -= connection.partial_line.size();
+  const auto line = std::exchange(connection.partial_line, {}).append(bytes);
+  on_line(connection, line);
+}
+
+void Front::on_partial_line(Connection& connection, std::string_view bytes) {
   partial_bytes_ += bytes.size();
   connection.partial_line.append(bytes);
+  if (connection.partial_line.size() > kMaxLineBytes)
+    return reject_line(connection, kRpcInvalidRequest, "a line is too long");
+  connection.timeout_start = now_;
+  if (!connection.request_received) arm_timer(connection, now_ + kSilenceTimeout);
+  limit_partial_bytes();
 }
 
 void Front::on_line(Connection& connection, std::string_view line) {
@@ -184,29 +220,37 @@
   connection.line_received = true;
   auto message = parse_rpc(line, names_);
   if (const auto* error = std::get_if<RpcError>(&message)) {
-    count_protocol_error(connection, rpc_error(error->id, error->code, error->message));
+    if (error->id || !connection.rejects_requests)
+      connection.stream.write(rpc_error(error->id, error->code, error->message));
+    count_protocol_error(connection);
   } else if (const auto* health = std::get_if<RpcHealth>(&message)) {
     connection.stream.write(rpc_health(health->id, ready_()));
   } else if (const auto* cancel = std::get_if<RpcCancel>(&message)) {
     on_cancel(connection, *cancel);
   } else {
-    auto& request = std::get<RpcRequest>(message);
-    if (connection.open_requests.contains(request.id)) {
-      return count_protocol_error(connection, rpc_error(std::nullopt, -32600, "the id is in use"));
-    }
-    if (connection.open_requests.size() >= kMaxOpenRequests) {
-      return count_protocol_error(connection, rpc_error(request.id, kRpcRejected, "too many open requests"));
-    }
-    connection.request_received = true;
-    connection.max_request_id = std::max(connection.max_request_id, request.id);
-    const auto client = ++last_client_handle_;
-    connection.open_requests[request.id] = client;
-    open_requests_[client] = {connection.id, request.id, request.request.ticket};
-    request.request.client = client;
-    emit_(core::RequestArrived{std::move(request.request)});
+    on_request(connection, std::get<RpcRequest>(message));
   }
 }
 
+void Front::on_request(Connection& connection, RpcRequest& request) {
+  if (connection.open_requests.contains(request.id)) {
+    if (!connection.rejects_requests)
+      connection.stream.write(rpc_error(std::nullopt, kRpcInvalidRequest, "the id is in use"));
+    return count_protocol_error(connection);
+  }
+  if (connection.rejects_requests || connection.open_requests.size() >= kMaxOpenRequests) {
+    connection.stream.write(rpc_error(request.id, kRpcRejected, "too many open requests"));
+    return count_protocol_error(connection);
+  }
+  connection.request_received = true;
+  connection.max_request_id = std::max(connection.max_request_id, request.id);
+  const auto client = ++last_client_handle_;
+  connection.open_requests[request.id] = client;
+  open_requests_[client] = {connection.id, request.id, request.request.ticket};
+  request.request.client = client;
+  emit_(core::RequestArrived{std::move(request.request)});
+}
+
 void Front::on_cancel(Connection& connection, const RpcCancel& message) {
   auto found = connection.open_requests.end();
   // The id of the cancel call itself may be that of the request to cancel.
@@ -229,6 +273,7 @@
   if (own_id)
     connection.stream.write("{\"jsonrpc\":\"2.0\",\"id\":" + std::to_string(*message.id) +
                             ",\"result\":true}\n");
+  end_if_unusable(connection);
 }
 
 bool Front::run(const core::Answer& answer) {
@@ -254,9 +299,7 @@
   }
   if (connection.open_requests.empty() && connection.input_ended && connection.stream.unsent_bytes() == 0) {
     close(connection);
-  } else if (connection.open_requests.empty() && connection.ignores_input) {
-    half_close(connection);
-  } else {
+  } else if (!end_if_unusable(connection)) {
     update_rank(connection);
   }
   return true;
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -21,8 +21,9 @@
 namespace bellstair::platform {
 
 // Parses the clients' lines and emits RequestArrived, RequestCancelled and ClientHalfClosed. A connection may
-// have several requests open. It ends after too many invalid lines, or one that is too long or incomplete for
-// too long.
+// have several requests open. It ends after too many invalid lines, a line that is too long, or a first
+// request that is incomplete for too long, but not before all of its open requests are answered. Until then
+// every further request on it gets a response too.
 class Front {
  public:
   using EventSink = std::function<void(core::Event)>;
@@ -42,13 +43,15 @@
   // Stops accepting connections and requests: the sending side of each connection is closed after the last
   // response, and further input is read and dropped.
   void stop();
+  // Bytes that it holds of the incomplete lines of all clients.
+  [[nodiscard]] std::size_t partial_bytes() const { return partial_bytes_; }
   // True while output is waiting to be sent; after stop(), until all connections are closed.
   [[nodiscard]] bool has_unsent_output() const;
 
  private:
   static constexpr std::size_t kMaxLineBytes = std::size_t{256} * 1024;
   static constexpr std::size_t kMaxUnsentBytes = std::size_t{4} << 20;
-  // Of the incomplete lines of all clients together.
+  // Of the incomplete lines of all clients together. Beyond it the line that uses most of it is rejected.
   static constexpr std::size_t kMaxPartialBytes = std::size_t{4} << 20;
   // On one connection.
   static constexpr unsigned kMaxProtocolErrors = 64;
@@ -65,11 +68,12 @@
     bool input_ended = false;       // the client has closed its sending side
     bool line_received = false;     // a complete line has been received
     bool request_received = false;  // a request has been accepted
-    bool ignores_input = false;     // further input is dropped
-    bool half_closed = false;       // and nothing more is sent
+    bool skips_line = false;        // the current line was rejected, and the rest of it is dropped
+    bool rejects_requests = false;  // after too many invalid lines
+    bool half_closed = false;       // by this side: nothing more is sent, and further input is dropped
     bool timer_armed = false;
     unsigned protocol_errors = 0;
-    core::Time timeout_start{};  // when it was accepted, the incomplete line began, or it was half-closed
+    core::Time timeout_start{};  // when it was accepted, last sent part of a line, or was half-closed
     EvictionRank rank = EvictionRank::unidentified;
     std::list<Connection*>::iterator rank_position;
     std::unordered_map<std::uint64_t, core::ClientHandle> open_requests;  // by the client's request id
@@ -82,16 +86,30 @@
 
   void accept(net::Fd fd);
   void on_data(Connection& connection, std::string_view bytes);
+  // Whether input of the connection is still parsed.
+  [[nodiscard]] bool reads_lines(const Connection& connection) const;
+  // Handles the end of a line, whose beginning may have been received before.
+  void on_line_end(Connection& connection, std::string_view bytes);
+  // Stores part of an incomplete line.
+  void on_partial_line(Connection& connection, std::string_view bytes);
   void on_line(Connection& connection, std::string_view line);
+  void on_request(Connection& connection, RpcRequest& request);
   void on_cancel(Connection& connection, const RpcCancel& message);
   void close(Connection& connection);
-  // Sends an error, drops further input, and half-closes the connection once its open requests are answered.
-  void reject_input(Connection& connection, std::string_view reason);
+  // Responds with an error to a line of which only the beginning has been received, and drops the rest of it.
+  void reject_line(Connection& connection, int code, std::string_view reason);
+  // Rejects incomplete lines until all that remain fit kMaxPartialBytes.
+  void limit_partial_bytes();
+  // The connection with the incomplete line to reject first; there must be one.
+  Connection& costliest_partial_line();
+  // Half-closes a connection that can't be used any more once it has no open requests. Returns whether it
+  // did.
+  bool end_if_unusable(Connection& connection);
   // Closes the sending side after all output has been sent. The connection is closed when the client closes
   // its side too, or after kLingerTimeout.
   void half_close(Connection& connection);
-  // Sends the error response to an invalid line; too many of them end the connection.
-  void count_protocol_error(Connection& connection, const std::string& response);
+  // Counts an invalid line, whose response has been sent. Too many of them end the connection.
+  void count_protocol_error(Connection& connection);
   void arm_timer(Connection& connection, core::Time at);
   void update_rank(Connection& connection);
   bool make_room();
@@ -110,7 +128,7 @@
   std::vector<std::unique_ptr<Connection>> closed_;
   std::array<std::list<Connection*>, 3> by_rank_;  // by EvictionRank, the longest in that rank in front
   core::TimerWheel<std::uint64_t> timers_{std::chrono::milliseconds(5)};
-  std::size_t partial_bytes_ = 0;  // in the incomplete lines of all clients
+  std::size_t partial_bytes_ = 0;
   std::uint64_t last_connection_id_ = 0;
   core::Time now_{};
 };
--- a/src/platform/jsonrpc.cpp
+++ b/src/platform/jsonrpc.cpp
@@ -12,8 +12,7 @@
 namespace {
 using nlohmann::json;
 
-constexpr int kParseError = -32700, kInvalidRequest = -32600, kUnknownMethod = -32601,
-              kInvalidParams = -32602;
+constexpr int kParseError = -32700, kUnknownMethod = -32601, kInvalidParams = -32602;
 constexpr double kMaxTimeoutMs = 3'600'000;
 // Larger estimates are implausible and would distort the scheduling of all other requests.
 constexpr double kMaxCpuMs = 1e7, kMaxRamMb = 1e7;
@@ -110,19 +109,19 @@
     return !too_deep;
   };
   const json message = json::parse(line, limit_depth, false);
-  if (too_deep) return RpcError{std::nullopt, kInvalidRequest, "nested too deeply"};
+  if (too_deep) return RpcError{std::nullopt, kRpcInvalidRequest, "nested too deeply"};
   if (message.is_discarded()) return RpcError{std::nullopt, kParseError, "no JSON"};
-  if (!message.is_object()) return RpcError{std::nullopt, kInvalidRequest, "no call"};
+  if (!message.is_object()) return RpcError{std::nullopt, kRpcInvalidRequest, "no call"};
   std::optional<std::uint64_t> id;
   if (const auto found = message.find("id"); found != message.end() && !found->is_null()) {
     if (!found->is_number_unsigned())
-      return RpcError{std::nullopt, kInvalidRequest, "id is not a whole number from 1 up"};
+      return RpcError{std::nullopt, kRpcInvalidRequest, "id is not a whole number from 1 up"};
     id = found->get<std::uint64_t>();
   }
   const auto method = message.find("method");
   const auto version = message.find("jsonrpc");
   if (method == message.end() || !method->is_string() || version == message.end() || *version != "2.0")
-    return RpcError{id, kInvalidRequest, "no call of JSON-RPC 2.0"};
+    return RpcError{id, kRpcInvalidRequest, "no call of JSON-RPC 2.0"};
   const auto name = method->get<std::string>();
   const auto params_entry = message.find("params");
   static const json kNoParams = json::object();
@@ -137,7 +136,7 @@
       result.ticket = string_param(params, "txn", false);
       return result;
     }
-    if (!id) return RpcError{std::nullopt, kInvalidRequest, "id is missing"};
+    if (!id) return RpcError{std::nullopt, kRpcInvalidRequest, "id is missing"};
     if (name == "health") return RpcHealth{*id};
     const auto class_index = names.classes.find(name);
     if (class_index == names.classes.end()) return RpcError{id, kUnknownMethod, "no class of this name"};
@@ -147,6 +146,22 @@
   }
 }
 
+std::optional<std::uint64_t> rpc_id_of_incomplete_line(std::string_view text) {
+  // A number at the end may continue, so only the text before it is read.
+  text = text.substr(0, text.find_last_not_of("0123456789") + 1);
+  std::optional<std::uint64_t> id;
+  bool value_is_id = false;
+  const auto find_id = [&](int depth, json::parse_event_t event, json& parsed) {
+    if (depth > 1) return false;
+    if (event == json::parse_event_t::key) value_is_id = parsed == "id";
+    if (event == json::parse_event_t::value && value_is_id && parsed.is_number_unsigned())
+      id = parsed.get<std::uint64_t>();
+    return true;
+  };
+  [[maybe_unused]] const json incomplete = json::parse(text, find_id, false);
+  return id;
+}
+
 std::string rpc_result(std::uint64_t id, std::string_view body) {
   // Built directly: nothing in it needs escaping, and results are by far the longest messages.
   return "{\"jsonrpc\":\"2.0\",\"id\":" + std::to_string(id) + ",\"result\":{\"data\":\"" + to_base64(body) +
--- a/src/platform/jsonrpc.hpp
+++ b/src/platform/jsonrpc.hpp
@@ -35,13 +35,17 @@
 };
 using RpcMessage = std::variant<RpcRequest, RpcCancel, RpcHealth, RpcError>;
 
-// Error codes of responses to requests.
+// Error codes of responses to lines that are no valid request, and to requests.
+inline constexpr int kRpcInvalidRequest = -32600;
 inline constexpr int kRpcRejected = -32066;
 inline constexpr int kRpcFailed = -32069;
 inline constexpr int kRpcTimedOut = -32079;
 
 // Parses one line. `names` holds the classes and tenants of the configuration.
 [[nodiscard]] RpcMessage parse_rpc(std::string_view line, const config::NameIndex& names);
+// The id of the call that begins with `text`, the incomplete beginning of a line; nullopt if it isn't known
+// yet.
+[[nodiscard]] std::optional<std::uint64_t> rpc_id_of_incomplete_line(std::string_view text);
 // Format responses, each with its line feed. `body` is sent as base64; `retry_after` in milliseconds, and
 // only if it is positive.
 [[nodiscard]] std::string rpc_result(std::uint64_t id, std::string_view body);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -6,6 +6,7 @@
 #include "mysql/result.hpp"
 #include "platform/base64.hpp"
 #include "platform/http.hpp"
+#include "platform/jsonrpc.hpp"
 #include "sql/statement.hpp"
 #include "sql/value.hpp"
 
@@ -42,6 +43,22 @@
     EXPECT_FALSE(platform::from_base64(bad)) << bad;
 }
 
+// Guards against a response with a wrong id to a line of which only the beginning is known.
+TEST(JsonRpc, FindsTheIdOfAnIncompleteLineOnlyIfItIsComplete) {
+  const std::pair<const char*, std::optional<std::uint64_t>> kCases[] = {
+      {R"({"jsonrpc":"2.0","id":17,"method":"lookup","params":{"data":"AAA)", 17},
+      {R"({"id": 17 , "params":{"id":3)", 17},
+      {R"({"params":{"id":3,"list":[{"id":4}]},"id":5})", 5},
+      {R"({"params":{"id":3,"data":"\"id\":4)", std::nullopt},
+      {R"({"id":17)", std::nullopt},
+      {R"({"id":"17",)", std::nullopt},
+      {R"({"id":-1,)", std::nullopt},
+      {R"([{"id":1,)", std::nullopt},
+      {"xxxx", std::nullopt},
+      {"", std::nullopt}};
+  for (const auto& [text, id] : kCases) EXPECT_EQ(platform::rpc_id_of_incomplete_line(text), id) << text;
+}
+
 TEST(Http, ReadsAResponseInPieces) {
   const auto bytes =
       "HTTP/1.1 200 OK\r\nResult-Pages: 3\r\nX-Meter: a:1;b:x;c:0.5\r\nContent-Length: 4\r\n\r\na\tb\n"s;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -1,9 +1,9 @@
 // Races between events on real connections. A scripted peer forces the problematic order every time.
 #include <gtest/gtest.h>
 
+#include "front_harness.hpp"
 #include "harness.hpp"
 #include "net/pool.hpp"
-#include "platform/front.hpp"
 
 namespace bellstair::test {
 namespace {
@@ -68,43 +68,6 @@
   EXPECT_EQ(engine.post_count(), 2U);
 }
 
-// The platform front on its own, with an event loop and a clock that the test controls.
-class TestFront {
- public:
-  TestFront()
-      : front(
-            loop, net::listen_tcp(net::parse_address("127.0.0.1:0").value()), names, 8, handles,
-            [] { return true; }, [this](core::Event event) { events.push_back(std::move(event)); }) {
-    names.classes["lookup"] = 0;
-    names.tenants["acme"] = 0;
-    names.class_names = {"lookup"};
-    wakeup_.set<TestFront, &TestFront::ignore_timer>(this);
-    wakeup_.start(0.001, 0.001);  // ends each iteration in which no event occurs
-    front.tick(now);
-  }
-  void ignore_timer(ev::timer&, int) {}
-  bool run_until(const std::function<bool()>& condition) {
-    const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
-    while (!condition() && std::chrono::steady_clock::now() < deadline) {
-      loop.run(ev::ONCE);
-      front.release_closed();
-    }
-    return condition();
-  }
-  template <class T>
-  [[nodiscard]] std::size_t count_events() const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        events, [](const core::Event& event) { return std::holds_alternative<T>(event); }));
-  }
-  ev::dynamic_loop loop;
-  ev::timer wakeup_{loop};
-  config::NameIndex names;
-  std::uint64_t handles = 0;
-  core::Time now{1000s};
-  std::vector<core::Event> events;
-  platform::Front front;
-};
-
 // Closing a connection with unread input resets it, and a reset may discard responses that the client has not
 // read yet.
 TEST(ConnectionRaces, ShutdownHalfClosesConnectionsAndDiscardsLateInput) {
--- /dev/null
+++ b/tests/net/front_test.cpp
@@ -0,0 +1,220 @@
+// The platform front on its own: requests that arrive in pieces, and input that it rejects.
+#include <gtest/gtest.h>
+
+#include "front_harness.hpp"
+
+namespace bellstair::test {
+namespace {
+
+const std::string kSelect = "SELECT a FROM sales_17.orders";
+constexpr std::size_t kMaxClients = 64;
+// Incomplete lines of this length are accepted, and 16 of them fill most of the memory for such lines.
+constexpr std::size_t kLongPart = 256'000;
+constexpr std::size_t kFillingClients = 16;
+
+// A whole request, whose statement has at least `size` bytes.
+std::string request_line(int id, std::size_t size = 0) {
+  const json params{{"txn", ticket(static_cast<unsigned>(id))},
+                    {"limit", 15000},
+                    {"team", "acme"},
+                    {"data", platform::to_base64(kSelect + std::string(size * 3 / 4, ' '))}};
+  return json{{"jsonrpc", "2.0"}, {"id", id}, {"method", "lookup"}, {"params", params}}.dump() + "\n";
+}
+
+// The beginning of a request of `size` bytes, without its end.
+std::string incomplete_request(int id, std::size_t size) {
+  const auto begin =
+      R"({"jsonrpc":"2.0","id":)" + std::to_string(id) + R"(,"method":"lookup","params":{"data":")";
+  return begin + std::string(size - begin.size(), 'A');
+}
+
+// Clients that have sent an incomplete request each, which fill most of the memory for incomplete lines.
+std::vector<Client> fill_memory(TestFront& test) {
+  std::vector<Client> clients;
+  for (std::size_t i = 0; i < kFillingClients; ++i) {
+    EXPECT_TRUE(test.send(clients.emplace_back(test.front.address()), incomplete_request(1, kLongPart)));
+  }
+  EXPECT_TRUE(test.wait_for_partial_bytes(kFillingClients * kLongPart));
+  return clients;
+}
+
+std::vector<Client>::iterator find_with_response(std::vector<Client>& clients) {
+  return std::ranges::find_if(clients, [](Client& client) { return client.socket.has_unread_bytes(); });
+}
+
+// Guards against the loss of usual clients' requests while others fill the memory for incomplete lines: the
+// line that was rejected was whichever came next, and whole requests after it were dropped without a
+// response.
+TEST(Front, RequestInPiecesIsReadWhileOtherClientsFillTheMemory) {
+  for (const bool has_open_request : {true, false}) {
+    TestFront test(kMaxClients);
+    Client usual(test.front.address());
+    std::size_t requests = 0;
+    if (has_open_request) {
+      usual.socket.send(request_line(1));
+      ASSERT_TRUE(test.wait_for_requests(++requests));
+    }
+    auto others = fill_memory(test);
+    test.advance(100ms);
+    const auto line = request_line(2, kLongPart);
+    ASSERT_TRUE(test.send(usual, line.substr(0, line.size() / 2)));  // more than the rest of the memory
+    ASSERT_TRUE(test.run_until([&] { return find_with_response(others) != others.end(); }));
+    ASSERT_TRUE(test.send(usual, line.substr(line.size() / 2) + request_line(3)));
+    ASSERT_TRUE(test.wait_for_requests(requests + 2));
+    EXPECT_FALSE(usual.socket.has_unread_bytes());
+  }
+}
+
+// Guards against silence towards a bad client whose incomplete line is rejected to make room.
+TEST(Front, ClientsThatFillTheMemoryGetAnError) {
+  TestFront test(kMaxClients);
+  auto clients = fill_memory(test);
+  Client last(test.front.address());
+  ASSERT_TRUE(test.send(last, incomplete_request(1, kLongPart)));
+  ASSERT_TRUE(test.run_until([&] { return find_with_response(clients) != clients.end(); }));
+  auto& rejected = *find_with_response(clients);
+  const auto response = test.read_response(rejected);
+  EXPECT_EQ(response["error"]["code"], -32066);
+  EXPECT_EQ(response["id"], 1);
+  EXPECT_FALSE(rejected.socket.read_more());  // half-closed by the front
+}
+
+// Guards against a request without a response if its line has to be rejected to make room: the client that
+// waits for another response learns which request it was, and its connection goes on.
+TEST(Front, RequestRejectedToMakeRoomIsNamedAndLaterOnesAreRead) {
+  TestFront test(kMaxClients);
+  std::vector<Client> clients;
+  for (std::size_t i = 1; i <= kFillingClients + 1; ++i) {
+    auto& client = clients.emplace_back(test.front.address());
+    client.socket.send(request_line(1));
+    ASSERT_TRUE(test.wait_for_requests(i));
+    ASSERT_TRUE(test.send(client, incomplete_request(2, kLongPart)));
+  }
+  ASSERT_TRUE(test.run_until([&] { return find_with_response(clients) != clients.end(); }));
+  auto& client = *find_with_response(clients);
+  const auto response = test.read_response(client);
+  EXPECT_EQ(response["id"], 2);
+  EXPECT_EQ(response["error"]["code"], -32066);
+  client.socket.send("the rest\n" + request_line(3));
+  ASSERT_TRUE(test.wait_for_requests(kFillingClients + 2));
+  test.answer(kFillingClients + 2);
+  EXPECT_EQ(test.read_response(client)["id"], 3);
+}
+
+// Guards against whole requests that are dropped because an earlier line was too long.
+TEST(Front, RequestsBehindATooLongLineAreAnswered) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  ASSERT_TRUE(test.send(client, incomplete_request(2, 2 * kLongPart) + "\n" + request_line(3)));
+  const auto error = test.read_response(client);
+  EXPECT_EQ(error["id"], 2);
+  EXPECT_EQ(error["error"]["code"], -32600);
+  ASSERT_TRUE(test.wait_for_requests(2));
+  test.answer(1);
+  EXPECT_EQ(test.read_response(client)["id"], 1);
+  test.answer(2);
+  EXPECT_EQ(test.read_response(client)["id"], 3);
+  client.socket.send(request_line(4));
+  EXPECT_TRUE(test.wait_for_requests(3));
+}
+
+// Guards against a second response to a request whose id a rejected line repeats.
+TEST(Front, RejectedLineWithTheIdOfAnOpenRequestIsNotNamed) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  ASSERT_TRUE(test.send(client, incomplete_request(1, 2 * kLongPart)));
+  EXPECT_TRUE(test.read_response(client)["id"].is_null());
+}
+
+// Guards against a connection that stays for good because its rejected line never ends.
+TEST(Front, ConnectionWithAnEndlessLineEndsOnceItsOpenRequestIsAnswered) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  ASSERT_TRUE(test.send(client, incomplete_request(2, 2 * kLongPart)));
+  EXPECT_EQ(test.read_response(client)["id"], 2);
+  test.answer(1);
+  EXPECT_EQ(test.read_response(client)["id"], 1);
+  EXPECT_FALSE(client.socket.read_more());
+}
+
+// Guards against requests that are dropped without a response after many invalid lines.
+TEST(Front, RequestsAfterTooManyInvalidLinesAreRejectedUntilOpenOnesAreAnswered) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  std::string lines;
+  for (int i = 0; i < 100; ++i) lines += "{}\n";
+  client.socket.send(lines + request_line(2));
+  auto response = test.read_response(client);
+  while (response["id"].is_null()) response = test.read_response(client);
+  EXPECT_EQ(response["id"], 2);
+  EXPECT_EQ(response["error"]["code"], -32066);
+  test.answer(1);
+  EXPECT_EQ(test.read_response(client)["id"], 1);
+  EXPECT_FALSE(client.socket.read_more());  // half-closed by the front
+}
+
+// Guards against a connection that stays for good if its last open request is cancelled, not answered.
+TEST(Front, ConnectionWithTooManyInvalidLinesEndsWhenItsOpenRequestIsCancelled) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  std::string lines;
+  for (int i = 0; i < 100; ++i) lines += "{}\n";
+  client.socket.send(lines);
+  client.cancel(1);
+  ASSERT_TRUE(test.run_until([&] { return test.count_events<core::RequestCancelled>() == 1; }));
+  EXPECT_TRUE(client.socket.read_to_end());
+}
+
+// Guards against the loss of a request that its client writes slowly beside an open one, and of those behind
+// it.
+TEST(Front, KnownClientMayWriteARequestSlowly) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  const auto line = request_line(2);
+  client.socket.send(line.substr(0, 20));
+  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  for (int i = 0; i < 5; ++i) test.advance(1s);
+  test.answer(1);
+  EXPECT_EQ(test.read_response(client)["id"], 1);
+  for (int i = 0; i < 5; ++i) test.advance(1s);
+  client.socket.send(line.substr(20) + request_line(3));
+  EXPECT_TRUE(test.wait_for_requests(3));
+  EXPECT_FALSE(client.socket.has_unread_bytes());
+}
+
+// Guards against the loss of a first request in slow pieces, and against clients that stop in the middle of
+// one.
+TEST(Front, FirstRequestMayComeInSlowPiecesButNotStop) {
+  TestFront test;
+  Client slow(test.front.address()), stopped(test.front.address());
+  const auto line = request_line(1);
+  constexpr std::size_t kPartBytes = 20;
+  stopped.socket.send(line.substr(0, kPartBytes));
+  ASSERT_TRUE(test.wait_for_partial_bytes(kPartBytes));
+  slow.socket.send(line.substr(0, kPartBytes));
+  ASSERT_TRUE(test.wait_for_partial_bytes(2 * kPartBytes));
+  test.advance(1500ms);
+  slow.socket.send(line.substr(kPartBytes, kPartBytes));
+  ASSERT_TRUE(test.wait_for_partial_bytes(3 * kPartBytes));
+  test.advance(1500ms);
+  EXPECT_EQ(test.read_response(stopped)["error"]["message"], "no whole request came");
+  EXPECT_FALSE(stopped.socket.read_more());
+  slow.socket.send(line.substr(2 * kPartBytes));
+  EXPECT_TRUE(test.wait_for_requests(1));
+  EXPECT_FALSE(slow.socket.has_unread_bytes());
+}
+
+}  // namespace
+}  // namespace bellstair::test
