Close idle connections to make room before those that receive a request

What callers would see: when clients fill the connections, one that has begun to write a request on a connection that rests is cut off, though others rest without writing.

Change: among clients that have sent a request, those of which part of the next one has come are closed last. Clients that never sent one still go first.

Test: ConnectionThatReceivesARequestIsClosedLastToMakeRoom failed before (the written request never came).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -24,17 +24,21 @@
       address_(net::local_address(listening.get())),
       listener_(std::in_place, loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
 
-// A connection without an open request may be closed at any time, those that never sent a valid request
-// first.
+// A connection without an open request may be closed at any time: those that never sent a valid request
+// first, and last those on which a request is being received.
 bool Front::make_room() {
   if (connections_.size() < max_connections_) return true;
-  for (const auto rank : {EvictionRank::unidentified, EvictionRank::idle}) {
-    auto& list = by_rank_[static_cast<std::size_t>(rank)];
-    if (list.empty()) continue;
-    close(*list.front());
+  auto& unidentified = by_rank_[static_cast<std::size_t>(EvictionRank::unidentified)];
+  auto& idle = by_rank_[static_cast<std::size_t>(EvictionRank::idle)];
+  if (unidentified.empty() && idle.empty()) return false;
+  if (!unidentified.empty()) {
+    close(*unidentified.front());
     return true;
   }
-  return false;
+  const auto receives_nothing = [](const Connection* connection) { return connection->partial_line.empty(); };
+  const auto found = std::ranges::find_if(idle, receives_nothing);
+  close(found != idle.end() ? **found : *idle.front());
+  return true;
 }
 
 void Front::update_rank(Connection& connection) {
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -216,5 +216,27 @@
   EXPECT_FALSE(slow.socket.has_unread_bytes());
 }
 
+// Guards against the end of a connection on which a request is being received, while idle ones could make
+// room.
+TEST(Front, ConnectionThatReceivesARequestIsClosedLastToMakeRoom) {
+  TestFront test(2);
+  Client writing(test.front.address()), idle(test.front.address());
+  for (auto* client : {&writing, &idle}) {
+    client->socket.send(request_line(1));
+    ASSERT_TRUE(test.wait_for_requests(client == &writing ? 1 : 2));
+    test.answer(client == &writing ? 1 : 2);
+    EXPECT_EQ(test.read_response(*client)["id"], 1);
+  }
+  const auto line = request_line(2);
+  writing.socket.send(line.substr(0, 20));
+  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  Client late(test.front.address());
+  late.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(3));
+  writing.socket.send(line.substr(20));
+  EXPECT_TRUE(test.wait_for_requests(4));
+  EXPECT_TRUE(idle.socket.read_to_end());
+}
+
 }  // namespace
 }  // namespace bellstair::test
