Accept a result page only once the loop has looked for more of it

What callers would see: an answer 'served' with rows missing, if the rest of a page whose length is too short is not in the same read, as on a network with segments of 1,500 bytes or with an engine that writes in pieces.

Change: a call whose response holds a page ends with the second tick of the driver after it was complete, 5 to 10 ms later, so the loop has polled the connection in between, also after a pause of the process. Bytes that come until then count as excess bytes. Other responses end at once, as before. A rest that comes later still is not seen: without a checksum only waiting could show it.

Test: FetchesAPageAgainIfTheRestBehindItsLengthIsReceivedLater failed before, for the only page of a result and for the first of two.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024;  // of any response
 constexpr std::size_t kMaxPageBytes = 6000;
+constexpr unsigned kPageStatus = 200;  // of a response that holds a page
 constexpr std::size_t kMaxResultBytes = 48'000;
 constexpr std::size_t kMaxPages = 4096;
 // An engine answers a POST or a poll within 250 ms, if only to report no change, and a page request
@@ -84,8 +85,12 @@
   parser.reset();
   calls_[call_id] = {&connection, connection.stream.sent_bytes(), std::move(callback)};
   connection.on_data = [this, call_id, &parser](std::string_view bytes) {
+    const bool was_complete = parser.complete();
     if (!parser.feed(bytes)) return finish_call(call_id, CallOutcome::broken);
-    if (parser.complete()) finish_call(call_id, CallOutcome::responded);
+    if (!parser.complete() || was_complete) return;
+    // The length of a page may be too short, and its rest may be received a little later.
+    if (parser.status() == kPageStatus) return complete_calls_.push_back(call_id);
+    finish_call(call_id, CallOutcome::responded);
   };
   connection.on_lost = [this, call_id, &parser](bool clean) {
     finish_call(call_id, clean && parser.finish() ? CallOutcome::responded : CallOutcome::broken);
@@ -102,6 +107,7 @@
   calls_.erase(found);
   auto& connection = *call.connection;
   auto& parser = static_cast<HttpSession&>(*connection.session).parser;
+  if (parser.complete()) outcome = CallOutcome::responded;  // even if it timed out or broke after that
   HttpResponse response;
   if (outcome == CallOutcome::responded) response = parser.take();
   if (outcome == CallOutcome::broken && connection.stream.sent_bytes() == call.sent_before)
@@ -136,6 +142,8 @@
 void Engines::tick(core::Time now) {
   now_ = now;
   pool_.tick(now);
+  const auto settled = std::exchange(settling_calls_, std::exchange(complete_calls_, {}));
+  for (const auto call_id : settled) finish_call(call_id, CallOutcome::responded);
   call_timeouts_.advance(now,
                          [this](std::uint64_t call_id) { finish_call(call_id, CallOutcome::timed_out); });
   delete_retries_.advance(now, [this](core::AttemptId id) {
@@ -393,7 +401,7 @@
       run(core::SetPriority{id, *std::exchange(attempt.pending_priority, std::nullopt)});
     return poll(id);
   }
-  if (response.status == 200) {
+  if (response.status == kPageStatus) {
     if (!append_page(attempt, response)) {
       ++damaged_pages_;
       // Damaged in transit: the engine still has the page and sends it again. The connection is discarded.
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -111,6 +111,9 @@
   net::EventSink emit_;
   std::map<core::AttemptId, Attempt> attempts_;
   std::unordered_map<std::uint64_t, Call> calls_;
+  // Calls whose page is complete by its length: since the last tick, and since the one before. They end with
+  // the second tick, so that the event loop has polled their connections for excess bytes in between.
+  std::vector<std::uint64_t> complete_calls_, settling_calls_;
   std::unordered_map<core::EngineId, std::string> addresses_;
   core::TimerWheel<std::uint64_t> call_timeouts_{std::chrono::milliseconds(5)};
   core::TimerWheel<core::AttemptId> delete_retries_{std::chrono::milliseconds(5)},
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -89,7 +89,10 @@
 }
 
 bool HttpResponseParser::feed(std::string_view bytes) {
-  if (complete_) return false;
+  if (complete_) {
+    add_excess(bytes);
+    return true;
+  }
   started_ = started_ || !bytes.empty();
   parser_.data = this;
   const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
@@ -103,13 +106,19 @@
     return header_bytes <= kMaxHeaderBytes && (used == bytes.size() || feed(bytes.substr(used)));
   }
   if (complete_) {
-    response_.excess = bytes.substr(used);
-    if (!response_.excess.empty()) response_.keep_alive = false;
+    add_excess(bytes.substr(used));
     return true;
   }
   return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && used == bytes.size();
 }
 
+void HttpResponseParser::add_excess(std::string_view bytes) {
+  if (bytes.empty()) return;
+  response_.keep_alive = false;
+  response_.excess.append(
+      bytes.substr(0, max_body_bytes_ - std::min(max_body_bytes_, response_.excess.size())));
+}
+
 bool HttpResponseParser::finish() {
   if (complete_ || !started_) return false;
   parser_.data = this;
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -16,7 +16,7 @@
   unsigned status = 0;
   std::map<std::string, std::string, std::less<>> headers;  // names in lower case
   std::string body;
-  std::string excess;      // what was received behind the response
+  std::string excess;      // received behind the response; no more than a body may have
   bool keep_alive = true;  // the connection may be used again
   // The value of a header; empty if there is none.
   [[nodiscard]] std::string_view header(std::string_view lower_case_name) const;
@@ -40,12 +40,15 @@
   void reset();
   // Parses the bytes. Returns false if they are not valid HTTP or the response is too large. If bytes follow
   // a complete response, it is valid HTTP, but its connection must not be used again. Its length may be wrong
-  // then: only the caller can tell whether the excess bytes belong to the body.
+  // then: only the caller can tell whether the excess bytes belong to the body. Excess bytes that are
+  // received later may be passed to further calls.
   [[nodiscard]] bool feed(std::string_view bytes);
   // To be called at the end of the connection; true if the response is complete by that.
   [[nodiscard]] bool finish();
   [[nodiscard]] bool complete() const { return complete_; }
   [[nodiscard]] bool started() const { return started_; }
+  // The status of the response, once its head is complete.
+  [[nodiscard]] unsigned status() const { return response_.status; }
   // Moves the response out.
   [[nodiscard]] HttpResponse take() { return std::move(response_); }
 
@@ -57,6 +60,7 @@
   bool in_value_ = false, complete_ = false, started_ = false;
   std::size_t header_bytes_ = 0, max_body_bytes_;
   void store_header();
+  void add_excess(std::string_view bytes);
   // Adds to the size of the headers; false if they are too large.
   bool count_header_bytes(std::size_t bytes);
 };
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -282,6 +282,46 @@
   }
 }
 
+// Guards against a result with rows missing: the rest of a page whose length is too short is received after
+// the page is complete by its length, as happens when it is in another segment.
+TEST(HttpEngineDriver, FetchesAPageAgainIfTheRestBehindItsLengthIsReceivedLater) {
+  for (const int pages : {1, 2}) {
+    std::promise<void> beginning_sent, release, rest_sent;
+    std::atomic<bool> spoilt = false;
+    const auto response_to = [pages](const HttpRequest& request) {
+      return pages == 1 ? rows_response(kFirstPage) : two_page_response(request);
+    };
+    Server server([&, released = release.get_future().share()](Socket& socket) {
+      while (true) {
+        const auto response = response_to(read_http_request(socket));
+        if (spoilt.exchange(true)) {
+          socket.send(response);
+          continue;
+        }
+        const auto bytes = with_length(response, 6);
+        const auto end = bytes.find(kFirstPage) + 6;
+        socket.send(bytes.substr(0, end));
+        beginning_sent.set_value();
+        released.wait();
+        socket.send(bytes.substr(end));
+        rest_sent.set_value();
+      }
+    });
+    HttpEngine unused([](const HttpRequest&) { return http_response(500); });
+    TestDriver driver(unused);
+    driver.run(core::EngineUpdated{7, server.address()});
+    driver.frozen_time = driver.driver_now();
+    driver.start_attempt();
+    beginning_sent.get_future().wait();
+    driver.run_once();  // receives the beginning
+    release.set_value();
+    rest_sent.get_future().wait();
+    const auto ended = driver.wait_for_event<core::AttemptEnded>();
+    EXPECT_EQ(ended.outcome, AttemptOutcome::served);
+    EXPECT_EQ(ended.body, pages == 1 ? kFirstPage : kFirstPage + kSecondPage);
+  }
+}
+
 // Guards against serving a result whose pages never fit their lengths; its statement is not sent again
 // either.
 TEST(HttpEngineDriver, DoesNotServeAResultWhosePagesAreAlwaysTooShort) {
