Go on draining while a client writes a request

What callers would see: a client that writes slowly has begun a request before a planned restart, as the platform allows, and ends it 0.8 s or more after SIGTERM. It gets no answer: its connection is half-closed and the rest of the line is dropped (rule 'lost').

Change: the program drains on while part of a line has been received from a client that was not silent for 2 s since, but not beyond the time at which all open requests are given up.

Tests: DrainsWhileARequestIsBeingReceivedUntilTheDrainExpires and RequestThatIsBeingReceivedWhileDrainingIsAccepted fail if the lifecycle ignores the new input; ReportsARequestThatIsBeingReceivedWhileItsClientIsNotSilent covers the front's side.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -86,10 +86,13 @@
                                              event_sink());
 }
 
-// Always false before draining, since it only decides when the program can exit.
-bool Broker::output_pending() const {
-  if (reducer_.lifecycle().phase() < core::Phase::draining) return false;
-  return platform_front_->has_unsent_output() || (mysql_front_ && mysql_front_->has_unsent_output());
+core::Tick Broker::make_tick() const {
+  if (reducer_.lifecycle().phase() < core::Phase::draining) return {};
+  core::Tick tick;
+  tick.output_pending =
+      platform_front_->has_unsent_output() || (mysql_front_ && mysql_front_->has_unsent_output());
+  tick.input_pending = platform_front_->receives_request();
+  return tick;
 }
 
 Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, std::string file)
@@ -161,7 +164,7 @@
   if (directory_) directory_->tick(now);
   changelog_.tick(now);
   if (reducer_.lifecycle().stopped_accepting()) platform_front_->stop();
-  post(core::Tick{output_pending()});
+  post(make_tick());
 }
 
 // Nothing depends on the wall clock, but jumps matter to those who compare the log with other machines' logs.
@@ -172,7 +175,7 @@
     execute(core::Log{"the wall clock jumped by " + std::to_string(seconds(jump)) + " s"});
 }
 
-void Broker::on_policy_timer(ev::timer&, int) { post(core::Tick{output_pending()}); }
+void Broker::on_policy_timer(ev::timer&, int) { post(make_tick()); }
 
 // Called first in each iteration of the loop, before anything is read.
 void Broker::on_check(ev::check&, int) {
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -54,8 +54,9 @@
   // A function that calls post().
   [[nodiscard]] net::EventSink event_sink();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engine_driver();
-  // Whether a front still has output to write.
-  [[nodiscard]] bool output_pending() const;
+  // The tick event for the reducer. What is pending only decides when the program can stop and exit, and is
+  // not looked up before it drains.
+  [[nodiscard]] core::Tick make_tick() const;
 
   void execute(const core::Answer& effect);
   void execute(const core::StartAttempt& effect) { engine_driver_->run(effect); }
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -149,6 +149,7 @@
 // Reported every Reducer::kTick, and when the policy is due (Reducer::next_policy_run()).
 struct Tick {
   bool output_pending = false;  // a front or engine driver has not yet written all of its output
+  bool input_pending = false;   // part of a request has been received, and the rest may follow
 };
 
 using Event = std::variant<Listening, MembershipChange, DiscoveryIdle, RequestArrived, RequestCancelled,
--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -38,7 +38,9 @@
 // The phase state machine:
 //   starting -> serving: the fronts listen, and an engine is known or kMaxStartupWait has passed;
 //   starting or serving -> draining: on a request to stop;
-//   draining -> stopping: after kMinDrainTime, once no accepted request is unanswered;
+//   draining -> stopping: after kMinDrainTime, once no accepted request is unanswered and none is being
+//   received,
+//     or once drain_expired() and no accepted request is unanswered;
 //   stopping -> exited: once all output is written, or after kMaxFlushTime.
 // All times are on one monotonic clock.
 class Lifecycle {
@@ -71,11 +73,12 @@
     phase_entered_at_ = now;
   }
   // Advances by one phase if that is due, and returns whether it did. `unanswered`: some request has no
-  // answer yet; `output_pending`: some output is not written yet. Never advances by two phases, since the
+  // answer yet; `output_pending`: some output is not written yet; `input_pending`: part of a request has been
+  // received, and the rest may follow. Never advances by two phases, since the
   // answers to requests that are cancelled as one phase ends are written in the next.
-  bool advance(Time now, bool unanswered, bool output_pending) {
+  bool advance(Time now, bool unanswered, bool output_pending, bool input_pending = false) {
     if (!started_at_) started_at_ = now;
-    const Phase next = next_phase(now, unanswered, output_pending);
+    const Phase next = next_phase(now, unanswered || (input_pending && !drain_expired(now)), output_pending);
     if (next == phase_) return false;
     phase_ = next;
     if (next == Phase::stopping) phase_entered_at_ = now;
@@ -93,13 +96,13 @@
   [[nodiscard]] bool stopped_accepting() const { return phase_ >= Phase::stopping; }
 
  private:
-  [[nodiscard]] Phase next_phase(Time now, bool unanswered, bool output_pending) const {
+  [[nodiscard]] Phase next_phase(Time now, bool drains, bool output_pending) const {
     switch (phase_) {
       case Phase::starting:
         return listening_ && (engine_known_ || now >= *started_at_ + kMaxStartupWait) ? Phase::serving
                                                                                       : phase_;
       case Phase::draining:
-        return !unanswered && now >= phase_entered_at_ + kMinDrainTime ? Phase::stopping : phase_;
+        return !drains && now >= phase_entered_at_ + kMinDrainTime ? Phase::stopping : phase_;
       case Phase::stopping:
         return !output_pending || now >= phase_entered_at_ + kMaxFlushTime ? Phase::exited : phase_;
       case Phase::serving:
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -391,7 +391,9 @@
   timers_.advance(now_, [this](const Timer& timer) { handle(timer); });
   if (lifecycle_.drain_expired(now_)) cancel_all_requests();
   // An answered request is tracked until the cancellations of its attempts have been sent to the engines.
-  if (!lifecycle_.advance(now_, unanswered_ > 0, tick.output_pending || !requests_.empty())) return;
+  if (!lifecycle_.advance(now_, unanswered_ > 0, tick.output_pending || !requests_.empty(),
+                          tick.input_pending))
+    return;
   emit(Log{std::string("phase: ") + name(lifecycle_.phase())});
   if (lifecycle_.phase() == Phase::exited) emit(Exit{});
 }
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -7,8 +7,9 @@
 namespace {
 using namespace std::chrono_literals;
 // A client must get a response, an error or a close within 3 s. Before its first request it must not be
-// silent for longer than kSilenceTimeout, unless it has completed a line. kLingerTimeout is the time to read
-// the last output, while further input is read and dropped.
+// silent for longer than kSilenceTimeout, unless it has completed a line. A shutdown does not wait longer
+// than that for the rest of a request. kLingerTimeout is the time to read the last output, while further
+// input is read and dropped.
 constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
 }  // namespace
 
@@ -309,6 +310,13 @@
   return true;
 }
 
+bool Front::receives_request() const {
+  return std::ranges::any_of(connections_, [this](const auto& entry) {
+    const auto& connection = *entry.second;
+    return !connection.partial_line.empty() && now_ < connection.timeout_start + kSilenceTimeout;
+  });
+}
+
 bool Front::has_unsent_output() const {
   if (stopped_) return !connections_.empty();
   return std::ranges::any_of(connections_, [](const auto& c) { return c.second->stream.unsent_bytes() > 0; });
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -43,6 +43,8 @@
   // Stops accepting connections and requests: the sending side of each connection is closed after the last
   // response, and further input is read and dropped.
   void stop();
+  // Whether some client has sent part of a request lately, so that the rest may follow.
+  [[nodiscard]] bool receives_request() const;
   // Bytes that it holds of the incomplete lines of all clients.
   [[nodiscard]] std::size_t partial_bytes() const { return partial_bytes_; }
   // True while output is waiting to be sent; after stop(), until all connections are closed.
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -52,8 +52,8 @@
     reducer.reduce(now, std::move(event), effects);
   }
   // Advances the clock by `time` with a tick every 5 ms.
-  void tick_for(Time time) {
-    for (const Time end = now + time; now < end;) report(std::min<Time>(5ms, end - now), Tick{});
+  void tick_for(Time time, Tick tick = {}) {
+    for (const Time end = now + time; now < end;) report(std::min<Time>(5ms, end - now), tick);
   }
   void send_request(ClientHandle client, ClassIndex class_index = 0, Time timeout = 2s) {
     ClientRequest request;
@@ -122,6 +122,21 @@
 
 // Requests that are cancelled when the drain time is over are answered in the same tick; their answers are
 // not written yet.
+// Guards against the loss of a request whose client began to write it before the program stopped reading, but
+// not at the price of a program that is killed with other requests unanswered.
+TEST(Lifecycle, DrainsWhileARequestIsBeingReceivedUntilTheDrainExpires) {
+  Lifecycle lifecycle(1s);
+  lifecycle.set_listening();
+  lifecycle.set_engine_known();
+  ASSERT_TRUE(lifecycle.advance(1s, false, false));
+  lifecycle.request_stop(2s);
+  EXPECT_FALSE(lifecycle.advance(2s + Lifecycle::kMinDrainTime, false, false, true));
+  EXPECT_FALSE(lifecycle.advance(3s + Lifecycle::kDrainMargin - 1ms, false, false, true));
+  EXPECT_FALSE(lifecycle.advance(3s + Lifecycle::kDrainMargin, true, false, true));
+  EXPECT_TRUE(lifecycle.advance(3s + Lifecycle::kDrainMargin, false, false, true));
+  EXPECT_EQ(lifecycle.phase(), Phase::stopping);
+}
+
 TEST(Lifecycle, DoesNotExitInTheTickThatAnswersTheLastRequest) {
   Lifecycle lifecycle;
   lifecycle.set_listening();
@@ -276,6 +291,16 @@
   EXPECT_EQ(harness.effects_of<Exit>().size(), 1U);
 }
 
+// Guards against the loss of a request that is being received when the program could stop.
+TEST(Reducer, RequestThatIsBeingReceivedWhileDrainingIsAccepted) {
+  ReducerHarness harness;
+  harness.report(1ms, ShutdownRequested{});
+  harness.tick_for(1s, Tick{false, true});
+  EXPECT_EQ(harness.reducer.lifecycle().phase(), Phase::draining);
+  harness.send_request(1);
+  EXPECT_EQ(harness.effects_of<StartAttempt>().size(), 1U);
+}
+
 // The platform kills a program that was asked to stop after the longest request timeout plus 0.7 s, or
 // after 3.7 s if that is less: requests that are unanswered then would get no answer at all.
 TEST(Reducer, UnansweredRequestsAreCancelledBeforeTheProgramIsKilled) {
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -216,6 +216,27 @@
   EXPECT_FALSE(slow.socket.has_unread_bytes());
 }
 
+// Guards against a shutdown that cuts off a request which is being received, or waits for one that never
+// ends.
+TEST(Front, ReportsARequestThatIsBeingReceivedWhileItsClientIsNotSilent) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  EXPECT_FALSE(test.front.receives_request());
+  const auto line = request_line(2);
+  client.socket.send(line.substr(0, 20));
+  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  EXPECT_TRUE(test.front.receives_request());
+  test.advance(1900ms);
+  EXPECT_TRUE(test.front.receives_request());
+  test.advance(200ms);
+  EXPECT_FALSE(test.front.receives_request());
+  client.socket.send(line.substr(20));
+  ASSERT_TRUE(test.wait_for_requests(2));
+  EXPECT_FALSE(test.front.receives_request());
+}
+
 // Guards against the end of a connection on which a request is being received, while idle ones could make
 // room.
 TEST(Front, ConnectionThatReceivesARequestIsClosedLastToMakeRoom) {
