Fetch a page without a length until two copies are the same

What callers would see: an answer 'served' with rows missing, if the head of a page gives no length and the page stops short at the end of a row.

A closed connection can't tell a whole page from one that stopped short.

Evidence: the test.

Change: a page that ended with its connection is accepted once it has come twice in the same form.

Test: PageWithoutALengthIsFetchedUntilTwoAreTheSame failed with the check switched off: the first copy, cut off, was served.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -435,6 +435,10 @@
     ++too_short_pages_;
     return false;
   }
+  // Such a page is accepted if it is the same when it is fetched again.
+  if (response.ended_by_close &&
+      std::exchange(attempt.unconfirmed_page, response.body) != std::optional(response.body))
+    return false;
   if (!complete_rows(response.body) || result.body.size() + response.body.size() > kMaxResultBytes)
     return false;
   if (attempt.next_page == 0) {
@@ -448,6 +452,7 @@
     return false;
   }
   result.body += response.body;
+  attempt.unconfirmed_page.reset();
   ++attempt.next_page;
   return true;
 }
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +57,8 @@
     std::uint64_t call_id = 0;         // of its last call
     std::string query_path;            // of its query at the engine
     std::size_t next_page = 0, page_count = 0;
+    // The body of the last page that ended with its connection and has not been accepted.
+    std::optional<std::string> unconfirmed_page;
     core::Time polled_at{};
     int reconnects = 0;         // in a row, without a valid response in between
     core::Time last_contact{};  // when the engine may last have received a call for it
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -123,6 +123,7 @@
   if (complete_ || !started_) return false;
   parser_.data = this;
   http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+  response_.ended_by_close = complete_;
   return complete_;
 }
 
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -16,8 +16,9 @@
   unsigned status = 0;
   std::map<std::string, std::string, std::less<>> headers;  // names in lower case
   std::string body;
-  std::string excess;      // received behind the response; no more than a body may have
-  bool keep_alive = true;  // the connection may be used again
+  std::string excess;           // received behind the response; no more than a body may have
+  bool keep_alive = true;       // the connection may be used again
+  bool ended_by_close = false;  // its head gives no length, so the body may have been cut off
   // The value of a header; empty if there is none.
   [[nodiscard]] std::string_view header(std::string_view lower_case_name) const;
   // The value of a header as a finite decimal number; nullopt if there is none, or it is no number.
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -322,6 +322,28 @@
   }
 }
 
+// Guards against a result with rows missing: a page without a length stops short at the end of a row, and the
+// engine closes the connection. Whole pages without a length are served.
+TEST(HttpEngineDriver, PageWithoutALengthIsFetchedUntilTwoAreTheSame) {
+  for (const bool first_stops_short : {true, false}) {
+    std::atomic<int> responses = 0;
+    Server server([&](Socket& socket) {
+      read_http_request(socket);
+      const std::string head = "HTTP/1.1 200 x\r\nResult-Pages: 1\r\n\r\n";
+      socket.send(head + (++responses == 1 && first_stops_short ? kFirstPage.substr(0, 6) : kFirstPage));
+    });
+    HttpEngine unused([](const HttpRequest&) { return http_response(500); });
+    TestDriver driver(unused);
+    driver.run(core::EngineUpdated{7, server.address()});
+    driver.frozen_time = driver.driver_now();
+    driver.start_attempt();
+    const auto ended = driver.wait_for_event<core::AttemptEnded>();
+    EXPECT_EQ(ended.outcome, AttemptOutcome::served);
+    EXPECT_EQ(ended.body, kFirstPage);
+    EXPECT_EQ(responses, first_stops_short ? 3 : 2);
+  }
+}
+
 // Guards against serving a result whose pages never fit their lengths; its statement is not sent again
 // either.
 TEST(HttpEngineDriver, DoesNotServeAResultWhosePagesAreAlwaysTooShort) {
