Split the handling of engine responses, and declare EventSink once

- Engines::on_response had grown to 60 lines: running queries and pages have functions of their own, and the two statuses have names.
- EventSink stood in three classes beside net::EventSink.
- Listener::on_io spelled out net::out_of_descriptors.
- A field of the fault suite's clients was never used.

--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -42,7 +42,7 @@
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::MysqlFront& config,
              const config::NameIndex& names, const heronwell::Settings& settings, Options options,
-             std::uint64_t& last_client_handle, std::uint64_t seed, EventSink emit)
+             std::uint64_t& last_client_handle, std::uint64_t seed, net::EventSink emit)
     : loop_(loop),
       config_(config),
       names_(names),
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -19,6 +19,7 @@
 #include "directory/lookup.hpp"
 #include "mysql/mapping.hpp"
 #include "mysql/packet.hpp"
+#include "net/driver.hpp"
 #include "net/stream.hpp"
 
 namespace bellstair::mysql {
@@ -28,7 +29,6 @@
 // to `emit`.
 class Front {
  public:
-  using EventSink = std::function<void(core::Event)>;
   struct Options {
     std::size_t max_connections = 256;  // further ones are closed at once
     bool escaped_rows = false;          // engines escape rows, see parse_rows()
@@ -36,7 +36,7 @@
   };
   Front(ev::loop_ref loop, net::Fd listening, const config::MysqlFront& config,
         const config::NameIndex& names, const heronwell::Settings& settings, Options options,
-        std::uint64_t& last_client_handle, std::uint64_t seed, EventSink emit);
+        std::uint64_t& last_client_handle, std::uint64_t seed, net::EventSink emit);
 
   // Sends the answer of a request. Returns false if the client is not one of this front.
   bool run(const core::Answer& answer);
@@ -115,7 +115,7 @@
   Options options_;
   std::uint64_t& last_client_handle_;
   std::mt19937_64 ticket_random_;
-  EventSink emit_;
+  net::EventSink emit_;
   net::Listener listener_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::ClientHandle, std::uint64_t>
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -182,7 +182,7 @@
   if ((events & ev::ERROR) != 0) return pause();  // libev could not watch the descriptor
   for (int i = 0; i < 64; ++i) {
     Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd && (errno == EMFILE || errno == ENFILE) && reserve_) {
+    if (!fd && out_of_descriptors(errno) && reserve_) {
       reserve_.reset();
       const bool was_pending = static_cast<bool>(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
       open_reserve();
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024;  // of any response
 constexpr std::size_t kMaxPageBytes = 6000;
-constexpr unsigned kPageStatus = 200;  // of a response that holds a page
+// Of a response that holds a page, and of one to a statement or poll whose query still runs.
+constexpr unsigned kPageStatus = 200, kRunningStatus = 202;
 constexpr std::size_t kMaxResultBytes = 48'000;
 constexpr std::size_t kMaxPages = 4096;
 // An engine answers a POST or a poll within 250 ms, if only to report no change, and a page request
@@ -374,7 +375,7 @@
     attempt.connection = nullptr;  // it has been discarded
   if (outcome != CallOutcome::unsent) attempt.last_contact = now_;
   if (attempt.stage == Stage::deleting) {
-    if (outcome == CallOutcome::responded && response.status != 202)
+    if (outcome == CallOutcome::responded && response.status != kRunningStatus)
       return end_attempt(id, attempt.final_outcome);
     return release_if_unused(attempt);
   }
@@ -388,34 +389,8 @@
     return reconnect(id);
   }
   read_load(response, attempt.result.load);
-  if (response.status == 202) {
-    attempt.reconnects = 0;
-    attempt.unconfirmed = false;
-    if (attempt.stage == Stage::cancelling) return cancel_query(id, AttemptOutcome::cancelled);
-    if (attempt.connection != nullptr && attempt.stage == Stage::polling &&
-        now_ < attempt.polled_at + kMinIdleResponseTime)
-      static_cast<HttpSession&>(*attempt.connection->session).duplicate_response = true;
-    attempt.stage = Stage::polling;
-    emit_(core::AttemptProgressed{id});
-    if (attempt.pending_priority)
-      run(core::SetPriority{id, *std::exchange(attempt.pending_priority, std::nullopt)});
-    return poll(id);
-  }
-  if (response.status == kPageStatus) {
-    if (!append_page(attempt, response)) {
-      ++damaged_pages_;
-      // Damaged in transit: the engine still has the page and sends it again. The connection is discarded.
-      if (attempt.connection != nullptr) pool_.discard(*std::exchange(attempt.connection, nullptr));
-      if (attempt.stage == Stage::cancelling) return end_attempt(id, AttemptOutcome::cancelled);
-      if (attempt.stage == Stage::posted) attempt.stage = Stage::polling;
-      return reconnect(id);
-    }
-    attempt.reconnects = 0;
-    if (attempt.next_page == attempt.page_count) return end_attempt(id, AttemptOutcome::served);
-    if (attempt.stage == Stage::cancelling) return end_attempt(id, AttemptOutcome::cancelled);
-    attempt.stage = Stage::paging;
-    return poll(id);
-  }
+  if (response.status == kRunningStatus) return on_still_running(id);
+  if (response.status == kPageStatus) return on_page(id, response);
   // Only this header proves that the query did not run; a 503 from anything else proves nothing.
   const bool never_ran = response.header("x-shed") == "1" && attempt.next_page == 0;
   if (never_ran && response.status == 503) return end_attempt(id, AttemptOutcome::rejected);
@@ -429,6 +404,38 @@
   end_attempt(id, attempt.unconfirmed ? AttemptOutcome::query_dropped : AttemptOutcome::error);
 }
 
+void Engines::on_still_running(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  attempt.reconnects = 0;
+  attempt.unconfirmed = false;
+  if (attempt.stage == Stage::cancelling) return cancel_query(id, AttemptOutcome::cancelled);
+  if (attempt.connection != nullptr && attempt.stage == Stage::polling &&
+      now_ < attempt.polled_at + kMinIdleResponseTime)
+    static_cast<HttpSession&>(*attempt.connection->session).duplicate_response = true;
+  attempt.stage = Stage::polling;
+  emit_(core::AttemptProgressed{id});
+  if (attempt.pending_priority)
+    run(core::SetPriority{id, *std::exchange(attempt.pending_priority, std::nullopt)});
+  poll(id);
+}
+
+void Engines::on_page(AttemptId id, HttpResponse& response) {
+  auto& attempt = attempts_.at(id);
+  if (!append_page(attempt, response)) {
+    ++damaged_pages_;
+    // Damaged in transit: the engine still has the page and sends it again. The connection is discarded.
+    if (attempt.connection != nullptr) pool_.discard(*std::exchange(attempt.connection, nullptr));
+    if (attempt.stage == Stage::cancelling) return end_attempt(id, AttemptOutcome::cancelled);
+    if (attempt.stage == Stage::posted) attempt.stage = Stage::polling;
+    return reconnect(id);
+  }
+  attempt.reconnects = 0;
+  if (attempt.next_page == attempt.page_count) return end_attempt(id, AttemptOutcome::served);
+  if (attempt.stage == Stage::cancelling) return end_attempt(id, AttemptOutcome::cancelled);
+  attempt.stage = Stage::paging;
+  poll(id);
+}
+
 bool Engines::append_page(Attempt& attempt, HttpResponse& response) {
   auto& result = attempt.result;
   if (may_continue_page(response.body, response.excess)) {
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -86,6 +86,9 @@
                                  CallCallback callback);
 
   void on_response(core::AttemptId id, CallOutcome outcome, HttpResponse& response);
+  // Handle a response that reports no change, and one that holds a page of the result.
+  void on_still_running(core::AttemptId id);
+  void on_page(core::AttemptId id, HttpResponse& response);
   // Asks for the state of the query, or for its next page.
   void poll(core::AttemptId id);
   void reconnect(core::AttemptId id);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -15,7 +15,7 @@
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::NameIndex& names,
              std::size_t max_connections, std::uint64_t& last_client_handle, std::function<bool()> ready,
-             EventSink emit)
+             net::EventSink emit)
     : loop_(loop),
       names_(names),
       max_connections_(max_connections),
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -15,6 +15,7 @@
 #include "config/config.hpp"
 #include "core/events.hpp"
 #include "core/wheel.hpp"
+#include "net/driver.hpp"
 #include "net/stream.hpp"
 #include "platform/jsonrpc.hpp"
 
@@ -26,11 +27,10 @@
 // every further request on it gets a response too.
 class Front {
  public:
-  using EventSink = std::function<void(core::Event)>;
   // `names` must outlive this object. `last_client_handle` is the last client handle assigned; all fronts
   // share it. `ready`: what a health call is answered with.
   Front(ev::loop_ref loop, net::Fd listening, const config::NameIndex& names, std::size_t max_connections,
-        std::uint64_t& last_client_handle, std::function<bool()> ready, EventSink emit);
+        std::uint64_t& last_client_handle, std::function<bool()> ready, net::EventSink emit);
 
   // The address that it listens on.
   [[nodiscard]] const std::string& address() const { return address_; }
@@ -122,7 +122,7 @@
   std::size_t max_connections_;
   std::uint64_t& last_client_handle_;
   std::function<bool()> ready_;
-  EventSink emit_;
+  net::EventSink emit_;
   std::string address_;
   std::optional<net::Listener> listener_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
--- a/src/platform/peers.cpp
+++ b/src/platform/peers.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxDatagramBytes = 256;
 }  // namespace
 
-Peers::Peers(ev::loop_ref loop, const config::Config& config, EventSink emit)
+Peers::Peers(ev::loop_ref loop, const config::Config& config, net::EventSink emit)
     : io_(loop),
       all_peers_(net::parse_address(config.peers_all)),
       own_index_(config.settings.gateway_index),
--- a/src/platform/peers.hpp
+++ b/src/platform/peers.hpp
@@ -3,11 +3,11 @@
 
 #include <ev++.h>
 
-#include <functional>
 #include <vector>
 
 #include "config/config.hpp"
 #include "core/events.hpp"
+#include "net/driver.hpp"
 #include "net/socket.hpp"
 
 namespace bellstair::platform {
@@ -16,9 +16,8 @@
 // Datagrams from addresses that are not in the configuration are ignored.
 class Peers {
  public:
-  using EventSink = std::function<void(core::Event)>;
   // If the address can't be bound, the error is logged and nothing is sent or received.
-  Peers(ev::loop_ref loop, const config::Config& config, EventSink emit);
+  Peers(ev::loop_ref loop, const config::Config& config, net::EventSink emit);
   // Sends to one peer, or to all of them by the address `peers_all` of the configuration.
   void run(const core::SendToPeers& effect);
 
@@ -29,7 +28,7 @@
   std::vector<sockaddr_in> peers_;
   std::optional<sockaddr_in> all_peers_;
   std::size_t own_index_;
-  EventSink emit_;
+  net::EventSink emit_;
 };
 
 }  // namespace bellstair::platform
--- a/tests/faults/traffic.hpp
+++ b/tests/faults/traffic.hpp
@@ -60,7 +60,7 @@
   struct Pending {
     std::string ticket, line;
     SteadyTime sent;
-    bool resent = false, cancelled = false;
+    bool cancelled = false;
   };
   using PendingById = std::map<int, Pending>;
   static constexpr auto kPause = 20ms;
