Choose the incomplete line to refuse by its cost alone

What callers would see: known clients that stop in the middle of long lines, and stay, keep the memory for incomplete lines full. Each new client that writes its first request in pieces is refused at once. And when long lines fill the memory within a moment, the one that is refused is a short line whose client writes slowly, since no time has passed for the others.

Change: the cost is bytes by silence plus 2 s, for known and new clients alike.

Tests: RequestInPiecesIsReadWhileOtherClientsFillTheMemory, now also with known clients that fill the memory, and ShortRequestInSlowPiecesIsReadWhileLongOnesFillTheMemoryAtOnce failed before. What the Front tests set up alike stands once.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,7 +1,6 @@
 #include "platform/front.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace bellstair::platform {
 namespace {
@@ -146,14 +145,12 @@
     reject_line(costliest_partial_line(), kRpcRejected, "too much incomplete input");
 }
 
-// Clients that never sent a request come first. Among them it is the line that has used most memory for the
-// longest time since its client last sent a part of it: short lines and those being received right now come
-// last.
+// It is the line that has used most memory for the longest time since its client last sent a part of it. The
+// time that is added keeps the short lines of slow clients behind long ones that have only just come.
 Front::Connection& Front::costliest_partial_line() {
   const auto cost = [this](const Connection& connection) {
-    const auto size = connection.partial_line.size();
-    const auto silent_ms = static_cast<std::size_t>((now_ - connection.timeout_start) / 1ms);
-    return std::tuple(size > 0, !connection.request_received, size * silent_ms, size);
+    const auto silence = now_ - connection.timeout_start + kSilenceTimeout;
+    return connection.partial_line.size() * static_cast<std::size_t>(silence / 1ms);
   };
   const auto found =
       std::ranges::max_element(connections_, {}, [&cost](const auto& entry) { return cost(*entry.second); });
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -28,16 +28,35 @@
   return begin + std::string(size - begin.size(), 'A');
 }
 
+// More of them than a connection may have.
+std::string invalid_lines() {
+  std::string lines;
+  for (int i = 0; i < 100; ++i) lines += "{}\n";
+  return lines;
+}
+
 // Clients that have sent an incomplete request each, which fill most of the memory for incomplete lines.
-std::vector<Client> fill_memory(TestFront& test) {
+// `known`: they have sent a whole request before that. `other_bytes`: in the incomplete lines of other
+// clients.
+std::vector<Client> fill_memory(TestFront& test, bool known = false, std::size_t other_bytes = 0) {
   std::vector<Client> clients;
   for (std::size_t i = 0; i < kFillingClients; ++i) {
-    EXPECT_TRUE(test.send(clients.emplace_back(test.front.address()), incomplete_request(1, kLongPart)));
+    auto& client = clients.emplace_back(test.front.address());
+    if (known) client.socket.send(request_line(1));
+    EXPECT_TRUE(test.send(client, incomplete_request(2, kLongPart)));
   }
-  EXPECT_TRUE(test.wait_for_partial_bytes(kFillingClients * kLongPart));
+  EXPECT_TRUE(test.wait_for_partial_bytes(kFillingClients * kLongPart + other_bytes));
   return clients;
 }
 
+// A client with request 1 open.
+Client client_with_open_request(TestFront& test) {
+  Client client(test.front.address());
+  client.socket.send(request_line(1));
+  EXPECT_TRUE(test.wait_for_requests(1));
+  return client;
+}
+
 std::vector<Client>::iterator find_with_response(std::vector<Client>& clients) {
   return std::ranges::find_if(clients, [](Client& client) { return client.socket.has_unread_bytes(); });
 }
@@ -46,7 +65,8 @@
 // line that was rejected was whichever came next, and whole requests after it were dropped without a
 // response.
 TEST(Front, RequestInPiecesIsReadWhileOtherClientsFillTheMemory) {
-  for (const bool has_open_request : {true, false}) {
+  for (const auto& [has_open_request, others_are_known] :
+       {std::pair(true, false), {false, false}, {true, true}, {false, true}}) {
     TestFront test(kMaxClients);
     Client usual(test.front.address());
     std::size_t requests = 0;
@@ -54,7 +74,8 @@
       usual.socket.send(request_line(1));
       ASSERT_TRUE(test.wait_for_requests(++requests));
     }
-    auto others = fill_memory(test);
+    auto others = fill_memory(test, others_are_known);
+    if (others_are_known) requests += others.size();
     test.advance(100ms);
     const auto line = request_line(2, kLongPart);
     ASSERT_TRUE(test.send(usual, line.substr(0, line.size() / 2)));  // more than the rest of the memory
@@ -65,17 +86,35 @@
   }
 }
 
+// Guards against the loss of a short request that is written slowly when long ones fill the memory all at
+// once.
+TEST(Front, ShortRequestInSlowPiecesIsReadWhileLongOnesFillTheMemoryAtOnce) {
+  TestFront test(kMaxClients);
+  Client slow(test.front.address());
+  const auto line = request_line(1);
+  constexpr std::size_t kPartBytes = 20;
+  slow.socket.send(line.substr(0, kPartBytes));
+  ASSERT_TRUE(test.wait_for_partial_bytes(kPartBytes));
+  test.advance(1500ms);
+  auto others = fill_memory(test, false, kPartBytes);
+  ASSERT_TRUE(test.send(others.emplace_back(test.front.address()), incomplete_request(2, kLongPart)));
+  ASSERT_TRUE(test.run_until([&] { return find_with_response(others) != others.end(); }));
+  slow.socket.send(line.substr(kPartBytes));
+  EXPECT_TRUE(test.wait_for_requests(1));
+  EXPECT_FALSE(slow.socket.has_unread_bytes());
+}
+
 // Guards against silence towards a bad client whose incomplete line is rejected to make room.
 TEST(Front, ClientsThatFillTheMemoryGetAnError) {
   TestFront test(kMaxClients);
   auto clients = fill_memory(test);
   Client last(test.front.address());
-  ASSERT_TRUE(test.send(last, incomplete_request(1, kLongPart)));
+  ASSERT_TRUE(test.send(last, incomplete_request(2, kLongPart)));
   ASSERT_TRUE(test.run_until([&] { return find_with_response(clients) != clients.end(); }));
   auto& rejected = *find_with_response(clients);
   const auto response = test.read_response(rejected);
   EXPECT_EQ(response["error"]["code"], -32066);
-  EXPECT_EQ(response["id"], 1);
+  EXPECT_EQ(response["id"], 2);
   EXPECT_FALSE(rejected.socket.read_more());  // half-closed by the front
 }
 
@@ -104,9 +143,7 @@
 // Guards against whole requests that are dropped because an earlier line was too long.
 TEST(Front, RequestsBehindATooLongLineAreAnswered) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
+  auto client = client_with_open_request(test);
   ASSERT_TRUE(test.send(client, incomplete_request(2, 2 * kLongPart) + "\n" + request_line(3)));
   const auto error = test.read_response(client);
   EXPECT_EQ(error["id"], 2);
@@ -123,9 +160,7 @@
 // Guards against a second response to a request whose id a rejected line repeats.
 TEST(Front, RejectedLineWithTheIdOfAnOpenRequestIsNotNamed) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
+  auto client = client_with_open_request(test);
   ASSERT_TRUE(test.send(client, incomplete_request(1, 2 * kLongPart)));
   EXPECT_TRUE(test.read_response(client)["id"].is_null());
 }
@@ -133,9 +168,7 @@
 // Guards against a connection that stays for good because its rejected line never ends.
 TEST(Front, ConnectionWithAnEndlessLineEndsOnceItsOpenRequestIsAnswered) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
+  auto client = client_with_open_request(test);
   ASSERT_TRUE(test.send(client, incomplete_request(2, 2 * kLongPart)));
   EXPECT_EQ(test.read_response(client)["id"], 2);
   test.answer(1);
@@ -146,12 +179,8 @@
 // Guards against requests that are dropped without a response after many invalid lines.
 TEST(Front, RequestsAfterTooManyInvalidLinesAreRejectedUntilOpenOnesAreAnswered) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
-  std::string lines;
-  for (int i = 0; i < 100; ++i) lines += "{}\n";
-  client.socket.send(lines + request_line(2));
+  auto client = client_with_open_request(test);
+  client.socket.send(invalid_lines() + request_line(2));
   auto response = test.read_response(client);
   while (response["id"].is_null()) response = test.read_response(client);
   EXPECT_EQ(response["id"], 2);
@@ -164,12 +193,8 @@
 // Guards against a connection that stays for good if its last open request is cancelled, not answered.
 TEST(Front, ConnectionWithTooManyInvalidLinesEndsWhenItsOpenRequestIsCancelled) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
-  std::string lines;
-  for (int i = 0; i < 100; ++i) lines += "{}\n";
-  client.socket.send(lines);
+  auto client = client_with_open_request(test);
+  client.socket.send(invalid_lines());
   client.cancel(1);
   ASSERT_TRUE(test.run_until([&] { return test.count_events<core::RequestCancelled>() == 1; }));
   EXPECT_TRUE(client.socket.read_to_end());
@@ -179,9 +204,7 @@
 // it.
 TEST(Front, KnownClientMayWriteARequestSlowly) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
+  auto client = client_with_open_request(test);
   const auto line = request_line(2);
   client.socket.send(line.substr(0, 20));
   ASSERT_TRUE(test.wait_for_partial_bytes(20));
@@ -220,9 +243,7 @@
 // ends.
 TEST(Front, ReportsARequestThatIsBeingReceivedWhileItsClientIsNotSilent) {
   TestFront test;
-  Client client(test.front.address());
-  client.socket.send(request_line(1));
-  ASSERT_TRUE(test.wait_for_requests(1));
+  auto client = client_with_open_request(test);
   EXPECT_FALSE(test.front.receives_request());
   const auto line = request_line(2);
   client.socket.send(line.substr(0, 20));
