--- a/tests/faults/emulated_engine.hpp
+++ b/tests/faults/emulated_engine.hpp
@@ -1,5 +1,6 @@
 // An emulated engine that manages queries by the protocol: a query outlives its connection, is polled for and
-// deleted, and is aborted if it is not polled for kUnpolledLifetime. It can reject, fail and hang.
+// deleted, and is aborted if it is not polled for kUnpolledLifetime. It can reject, fail and hang, and give a
+// result a length that is too short.
 #pragma once
 
 #include <atomic>
@@ -17,6 +18,7 @@
  public:
   struct Behaviour {
     double reject_rate = 0.02, error_rate = 0.02;  // probabilities per statement
+    double short_length_rate = 0.05;               // probability per response with a result
     std::chrono::milliseconds max_duration{300};
   };
 
@@ -88,7 +90,9 @@
     while (SteadyClock::now() < std::min(end, long_poll_until)) std::this_thread::sleep_for(kPollInterval);
     if (SteadyClock::now() < end) return http_response(202);
     record_.execution_ended(ticket, "done");
-    return rows_response(ticket + "\ty\tz\n");
+    const std::string rows = ticket + "\ty\tz\n";
+    // The length of no rows at all: the rows follow behind a response that is complete by its length.
+    return draw() < behaviour_.short_length_rate ? rows_response({}) + rows : rows_response(rows);
   }
 
   // The time at which a query finishes; nothing for an unknown query.
