Look for the rest of a page in two iterations of the loop instead of two ticks

What callers saw: nothing wrong, but later answers: each page of a result was held for 5 to 10 ms.

Cause: 'Accept a result page only once the loop has looked for more of it' ended calls with the driver's ticks. What the check needs is that the loop has polled the connection again, not that time passes.

Change: a timer without a delay ends such calls in the second iteration of the loop after theirs. A rest that comes later than that is not seen, as one that came after two ticks was not.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -69,7 +69,10 @@
     : pool_(loop, limits),
       class_names_(std::move(class_names)),
       load_fields_(std::move(load_fields)),
-      emit_(std::move(emit)) {}
+      emit_(std::move(emit)),
+      settle_timer_(loop) {
+  settle_timer_.set<Engines, &Engines::on_settle_timer>(this);
+}
 
 std::string Engines::host(core::EngineId engine) const {
   const auto found = addresses_.find(engine);
@@ -90,8 +93,9 @@
     if (!parser.feed(bytes)) return finish_call(call_id, CallOutcome::broken);
     if (!parser.complete() || was_complete) return;
     // The length of a page may be too short, and its rest may be received a little later.
-    if (parser.status() == kPageStatus) return complete_calls_.push_back(call_id);
-    finish_call(call_id, CallOutcome::responded);
+    if (parser.status() != kPageStatus) return finish_call(call_id, CallOutcome::responded);
+    complete_calls_.push_back(call_id);
+    if (!settle_timer_.is_active()) settle_timer_.start(0, 0);
   };
   connection.on_lost = [this, call_id, &parser](bool clean) {
     finish_call(call_id, clean && parser.finish() ? CallOutcome::responded : CallOutcome::broken);
@@ -101,6 +105,13 @@
   return call_id;
 }
 
+// Fires in the iteration of the loop after the one in which it was started.
+void Engines::on_settle_timer(ev::timer&, int) {
+  const auto settled = std::exchange(settling_calls_, std::exchange(complete_calls_, {}));
+  for (const auto call_id : settled) finish_call(call_id, CallOutcome::responded);
+  if (!settling_calls_.empty()) settle_timer_.start(0, 0);
+}
+
 void Engines::finish_call(std::uint64_t call_id, CallOutcome outcome) {
   const auto found = calls_.find(call_id);
   if (found == calls_.end()) return;
@@ -143,8 +154,6 @@
 void Engines::tick(core::Time now) {
   now_ = now;
   pool_.tick(now);
-  const auto settled = std::exchange(settling_calls_, std::exchange(complete_calls_, {}));
-  for (const auto call_id : settled) finish_call(call_id, CallOutcome::responded);
   call_timeouts_.advance(now,
                          [this](std::uint64_t call_id) { finish_call(call_id, CallOutcome::timed_out); });
   delete_retries_.advance(now, [this](core::AttemptId id) {
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -81,6 +81,7 @@
   std::uint64_t start_call(Connection& connection, const std::string& request, core::Time timeout,
                            CallCallback callback);
   void finish_call(std::uint64_t call_id, CallOutcome outcome);
+  void on_settle_timer(ev::timer& timer, int events);
   // Makes a call on any connection to the engine; returns the pool's id for ConnectionPool::cancel().
   std::uint64_t out_of_band_call(core::EngineId engine, std::string request, core::Time timeout,
                                  CallCallback callback);
@@ -117,8 +118,9 @@
   net::EventSink emit_;
   std::map<core::AttemptId, Attempt> attempts_;
   std::unordered_map<std::uint64_t, Call> calls_;
-  // Calls whose page is complete by its length: since the last tick, and since the one before. They end with
-  // the second tick, so that the event loop has polled their connections for excess bytes in between.
+  // Calls whose page is complete by its length: since the settle timer fired last, and since the time before.
+  // They end two iterations later, so that the event loop has polled their connections for excess bytes in
+  // between.
   std::vector<std::uint64_t> complete_calls_, settling_calls_;
   std::unordered_map<core::EngineId, std::string> addresses_;
   core::TimerWheel<std::uint64_t> call_timeouts_{std::chrono::milliseconds(5)};
@@ -131,6 +133,7 @@
   // Pages that were fetched again since the last log line; of these, the ones whose length was too short.
   std::size_t damaged_pages_ = 0, too_short_pages_ = 0;
   core::Time now_{}, last_logged_{};
+  ev::timer settle_timer_;
 };
 
 }  // namespace bellstair::platform
