Give a statement time to reach its engine before its deadline in a MySQL test

Cause: the test gives the statement 0.9 s of real time. On so busy a machine that passes before the statement has reached the engine; the client gets the same error, and there is nothing to kill.

Evidence: on a scratch copy with a limit of 21 ms the test fails with the same output: the code is right, and no KILL comes.

Change: the limit is 5 s. What the test checks is unchanged.

--- a/tests/net/mysql_test.cpp
+++ b/tests/net/mysql_test.cpp
@@ -271,7 +271,7 @@
   });
   MysqlBroker broker({{"s-00000001", engine.server.address()}}, true);
   MysqlClient client(broker.mysql_address);
-  client.query("UPDATE sales_17.x SET a = 1", {{"class", "once"s}, {"limit", std::int64_t{900}}});
+  client.query("UPDATE sales_17.x SET a = 1", {{"class", "once"s}, {"limit", std::int64_t{5000}}});
   EXPECT_EQ(client.error.code, 50003);
   engine.killed.wait_for([](const std::string& text) { return text == "KILL 11"; });
   finish_statement.set_value();
