--- a/review/lib-2/stand.hpp
+++ b/review/lib-2/stand.hpp
@@ -440,6 +440,8 @@
   }
   // The rows of a statement's result.
   static std::string rows(const std::string& ticket) { return ticket + "\tok\t1\n"; }
+  // Whether the engine can use a statement; otherwise it answers 'error'.
+  std::function<bool(const std::string& statement)> usable = [](const std::string&) { return true; };
   // All statements that have arrived whole, in the order of their arrival.
   std::vector<Run> runs() {
     const std::lock_guard lock(mutex_);
@@ -475,6 +477,7 @@
       const auto found = request.headers.find(name);
       return found == request.headers.end() ? std::string() : found->second;
     };
+    if (!usable(request.body)) return http_response(500, {}, "");
     auto run = std::make_shared<Run>();
     run->ticket = header("x-ticket");
     run->queue = header("x-queue");
@@ -649,6 +652,13 @@
     record("platform: signal %d to %s", signal, name_.c_str());
     ::kill(pid_, signal);
   }
+  // Its memory without files and code, in MiB.
+  [[nodiscard]] double memory_mb() const {
+    std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(in, line);)
+      if (line.rfind("RssAnon:", 0) == 0) return std::atof(line.c_str() + 8) / 1024;
+    return 0;
+  }
   // Whether it has ended by itself.
   bool ended() {
     if (ended_) return true;
