Bound the time that one iteration of the loop reads from clients

Cause: an iteration read and parsed up to 64 KB of each readable connection, without a bound on its length. A gap of over 50 ms between two polls counted as a pause of the process, after which 17 iterations only read; each was long again and started the count anew, so that no event was ever processed.

The log could not tell a pause from work, so its line now gives the time worked too: in the flood tests (sanitized) "did not poll for 0.135 s, of which it worked for 0.135 s".

Change: readable client connections wait in net::ReadQueue, and an iteration reads for a bounded time. Clients that sent something useless, or much before their first request, wait in a second line. Catching up after a pause polls until all that is readable is reported, then reads, and ends after 0.1 s at most. Same cause on related paths: the bytes of requests read but not processed are bounded; a request's time begins at the poll before it was reported, not when it is read; components get the time before the events of a pause are processed; useless incomplete input no longer delays SIGTERM; the MySQL front uses the queue too.

The test harness reads through the queue too.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -15,9 +15,18 @@
 namespace {
 using namespace std::chrono_literals;
 
-// The loop iterates at least every Reducer::kTick. A longer gap means that the process was paused (stopped,
-// or without a processor): clients may have disconnected and answers may have arrived that were not read yet.
+// The loop iterates at least every Reducer::kTick, and its own work takes little longer than the limits
+// below. A longer gap means that the process was paused (stopped, or without a processor): clients may have
+// disconnected and answers may have arrived that were not read yet.
 constexpr core::Time kMaxPollGap = 50ms;
+// The longest time for which events are not processed after a pause, until all that has arrived meanwhile is
+// read.
+constexpr core::Time kMaxCatchUpTime = 100ms;
+// In one iteration of the loop, time for reading and parsing what clients have sent, by its priority.
+constexpr core::Time kPromptReadTime = 10ms, kBulkReadTime = 5ms;
+// No more is read in one iteration once the requests that it has brought have so many bytes: each copy of
+// them counts towards the memory limit.
+constexpr std::size_t kMaxQueuedRequestBytes = std::size_t{2} << 20;
 // If the configuration can't be read, it is tried again at this interval for this long.
 constexpr core::Time kReloadRetryInterval = 100ms, kMaxReloadTime = 10s;
 // Jumps of the wall clock that exceed this are logged.
@@ -112,8 +121,9 @@
       reload_timer_(loop) {
   const auto max_clients = max_client_connections(config_.max_descriptors);
   platform_front_ = std::make_unique<platform::Front>(
-      loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? max_clients / 2 : max_clients,
-      last_client_handle_, [this] { return reducer_.lifecycle().ready(); }, event_sink());
+      loop, listen(config_.listen, "listen"), read_queue_, config_.names,
+      fronts_.mysql ? max_clients / 2 : max_clients, last_client_handle_,
+      [this] { return reducer_.lifecycle().ready(); }, event_sink());
   if (fronts_.plugin)
     plugin_ =
         std::make_unique<plugin::Admission>(*fronts_.plugin, config_.names, config_.settings.max_retry_after);
@@ -129,8 +139,8 @@
       };
     }
     mysql_front_ = std::make_unique<mysql::Front>(
-        loop, listen(fronts_.mysql->listen, "mysql.listen"), *fronts_.mysql, config_.names, config_.settings,
-        std::move(options), last_client_handle_, config_.seed, event_sink());
+        loop, listen(fronts_.mysql->listen, "mysql.listen"), read_queue_, *fronts_.mysql, config_.names,
+        config_.settings, std::move(options), last_client_handle_, config_.seed, event_sink());
   }
   for (auto& change : config_.initial_membership.changes) post(std::move(change));
   post(core::Listening{});
@@ -147,6 +157,7 @@
   tick_timer_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   last_poll_at_ = core::monotonic_now();
+  last_cpu_time_ = core::thread_cpu_time();
   wall_offset_ = core::wall_now() - last_poll_at_;
   check_.start();
   loop_.run(0);
@@ -155,7 +166,10 @@
 void Broker::on_tick(ev::timer&, int) {
   if (SignalFlags::take_reload()) post(core::ReloadRequested{});
   if (SignalFlags::take_stop()) post(core::ShutdownRequested{});
-  if (catch_up_iterations_ > 0) return;  // read what has arrived before anything times out
+  if (catch_up_polls_ == 0) advance_time();  // else after all that has arrived is read
+}
+
+void Broker::advance_time() {
   log_wall_clock_jumps();
   const auto now = core::monotonic_now();
   engine_driver_->tick(now);
@@ -180,22 +194,52 @@
 // Called first in each iteration of the loop, before anything is read.
 void Broker::on_check(ev::check&, int) {
   const auto before = std::exchange(last_poll_at_, core::monotonic_now());
-  if (last_poll_at_ - before <= kMaxPollGap) return;
-  execute(core::Log{"the process was paused for " + std::to_string(seconds(last_poll_at_ - before)) + " s"});
-  if (catch_up_iterations_ == 0) pause_started_at_ = before;
-  catch_up_iterations_ = 1 + config_.max_descriptors / kMinReadyPerPoll;
+  const auto cpu_before = std::exchange(last_cpu_time_, core::thread_cpu_time());
+  const auto gap = last_poll_at_ - before;
+  const bool catches_up = catch_up_polls_ > 0;
+  if (gap > kMaxPollGap && !catches_up) pause_started_at_ = before;
+  // The first poll after a pause may report only some of what has arrived meanwhile.
+  read_queue_.on_poll(gap > kMaxPollGap || catches_up ? pause_started_at_ : before, last_poll_at_);
+  if (gap <= kMaxPollGap) return;
+  execute(core::Log{"the loop did not poll for " + std::to_string(seconds(gap)) +
+                    " s, of which it worked for " + std::to_string(seconds(last_cpu_time_ - cpu_before)) +
+                    " s"});
+  if (!catches_up) catch_up_deadline_ = last_poll_at_ + kMaxCatchUpTime;
+  catch_up_polls_ = 1 + config_.max_descriptors / kMinReadyPerPoll;
 }
 
 void Broker::post(core::Event event) {
-  auto* const arrived = std::get_if<core::RequestArrived>(&event);
-  if (arrived != nullptr && catch_up_iterations_ > 0) arrived->received_at = pause_started_at_;
+  if (const auto* arrived = std::get_if<core::RequestArrived>(&event); arrived != nullptr)
+    queued_request_bytes_ += arrived->request.body.size() + arrived->request.parameters.size();
   events_.push_back(std::move(event));
 }
 
-// Called before the loop sleeps: processes all events of this iteration.
+void Broker::read_clients(net::ReadPriority priority, core::Time max_time) {
+  const auto end = core::monotonic_now() + max_time;
+  while (!read_queue_.empty(priority) && queued_request_bytes_ <= kMaxQueuedRequestBytes) {
+    const auto first_event = events_.size();
+    const auto earliest_arrival = read_queue_.read_next(priority);
+    for (auto i = first_event; i < events_.size(); ++i) {
+      if (auto* arrived = std::get_if<core::RequestArrived>(&events_[i]))
+        arrived->received_at = earliest_arrival;
+    }
+    if (core::monotonic_now() >= end) return;
+  }
+}
+
+// Called before the loop sleeps: reads from clients and processes all events of this iteration.
 void Broker::on_prepare(ev::prepare&, int) {
-  if (catch_up_iterations_ > 0 && --catch_up_iterations_ > 0)
-    return policy_timer_.start(0, 0);  // one more iteration, without sleeping
+  if (catch_up_polls_ > 0) {
+    const auto time_left = catch_up_deadline_ - core::monotonic_now();
+    // Another poll, without sleeping: more connections may be readable than one poll reports.
+    if (--catch_up_polls_ > 0 && time_left > core::Time::zero()) return policy_timer_.start(0, 0);
+    catch_up_polls_ = 0;
+    read_clients(net::ReadPriority::prompt, std::max(time_left, kPromptReadTime));
+    advance_time();
+  } else {
+    read_clients(net::ReadPriority::prompt, kPromptReadTime);
+    read_clients(net::ReadPriority::bulk, kBulkReadTime);
+  }
   do {
     process_events();
     engine_driver_->process_pending();
@@ -208,6 +252,7 @@
 }
 
 void Broker::process_events() {
+  queued_request_bytes_ = 0;
   while (!events_.empty()) {
     auto event = std::move(events_.front());
     events_.pop_front();
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -42,6 +42,11 @@
   void on_policy_timer(ev::timer& timer, int events);
   void on_prepare(ev::prepare& prepare, int events);
   void on_check(ev::check& check, int events);
+  // Hands the time to all components, which fire their timers.
+  void advance_time();
+  // Reads from clients, in the order in which they became readable, until none of this priority waits or so
+  // much time has passed.
+  void read_clients(net::ReadPriority priority, core::Time max_time);
   void log_wall_clock_jumps();
   void on_reload(ev::timer& timer, int events);
   // Reads the configuration again and posts the result, or schedules a retry. `report_error`: post an error
@@ -77,19 +82,25 @@
   config::Fronts fronts_;
   std::uint64_t last_client_handle_ = 0;  // all fronts assign handles from this
   std::deque<core::Event> events_;        // not yet processed
+  std::size_t queued_request_bytes_ = 0;  // of the requests in events_
   core::Effects effects_;
   core::Reducer reducer_;
   std::unique_ptr<net::EngineDriver> engine_driver_;
+  net::ReadQueue read_queue_;  // of all client connections
   std::unique_ptr<platform::Front> platform_front_;
   // Optional; null unless configured.
   std::unique_ptr<directory::Ldap> directory_;
   std::unique_ptr<plugin::Admission> plugin_;
   std::unique_ptr<mysql::Front> mysql_front_;
   core::Time plugin_logged_at_{};
-  core::Time wall_offset_{};             // wall-clock time minus monotonic time, when last read
-  core::Time last_poll_at_{};            // when the loop's last poll returned
-  core::Time pause_started_at_{};        // the last poll before the process was paused
-  std::size_t catch_up_iterations_ = 0;  // iterations until all input from during the pause has been read
+  core::Time wall_offset_{};    // wall-clock time minus monotonic time, when last read
+  core::Time last_poll_at_{};   // when the loop's last poll returned
+  core::Time last_cpu_time_{};  // processor time used until then
+  // While it catches up after a pause of the loop: the last poll before the pause, polls until all that is
+  // readable has been reported, and when to go on in any case.
+  core::Time pause_started_at_{};
+  std::size_t catch_up_polls_ = 0;
+  core::Time catch_up_deadline_{};
   platform::ChangeLog changelog_;
   platform::Peers peers_;
   ev::timer tick_timer_, policy_timer_;
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -2,6 +2,8 @@
 // monotonic clock.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 namespace bellstair::core {
@@ -19,4 +21,11 @@
 // used for timestamps from other machines.
 [[nodiscard]] inline Time wall_now() { return std::chrono::system_clock::now().time_since_epoch(); }
 
+// Processor time that the calling thread has used since it started.
+[[nodiscard]] inline Time thread_cpu_time() {
+  timespec used{};
+  if (::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used) != 0) return Time::zero();
+  return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 }  // namespace bellstair::core
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -40,10 +40,12 @@
 
 }  // namespace
 
-Front::Front(ev::loop_ref loop, net::Fd listening, const config::MysqlFront& config,
-             const config::NameIndex& names, const heronwell::Settings& settings, Options options,
-             std::uint64_t& last_client_handle, std::uint64_t seed, net::EventSink emit)
+Front::Front(ev::loop_ref loop, net::Fd listening, net::ReadQueue& read_queue,
+             const config::MysqlFront& config, const config::NameIndex& names,
+             const heronwell::Settings& settings, Options options, std::uint64_t& last_client_handle,
+             std::uint64_t seed, net::EventSink emit)
     : loop_(loop),
+      read_queue_(read_queue),
       config_(config),
       names_(names),
       settings_(settings),
@@ -55,7 +57,7 @@
 
 void Front::accept(net::Fd fd) {
   if (connections_.size() >= options_.max_connections) return;
-  auto created = std::make_unique<Connection>(loop_, std::move(fd));
+  auto created = std::make_unique<Connection>(loop_, std::move(fd), read_queue_);
   auto& connection = *created;
   connection.serial = ++last_serial_;
   connection.nonce = new_nonce();
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -34,7 +34,8 @@
     bool escaped_rows = false;          // engines escape rows, see parse_rows()
     directory::Lookup lookup;           // of users that the fronts file does not list; empty: no directory
   };
-  Front(ev::loop_ref loop, net::Fd listening, const config::MysqlFront& config,
+  // `read_queue`, in which the connections wait to be read, must outlive this object.
+  Front(ev::loop_ref loop, net::Fd listening, net::ReadQueue& read_queue, const config::MysqlFront& config,
         const config::NameIndex& names, const heronwell::Settings& settings, Options options,
         std::uint64_t& last_client_handle, std::uint64_t seed, net::EventSink emit);
 
@@ -82,7 +83,8 @@
     bool is_read = false;                      // the running statement returns rows
     std::map<std::uint32_t, Statement> statements;
     std::uint32_t last_statement_id = 0;
-    Connection(ev::loop_ref loop, net::Fd fd) : stream(loop, std::move(fd), false, kMaxUnsentBytes) {}
+    Connection(ev::loop_ref loop, net::Fd fd, net::ReadQueue& read_queue)
+        : stream(loop, std::move(fd), false, kMaxUnsentBytes, &read_queue) {}
     [[nodiscard]] bool attributes() const { return (capabilities & kQueryAttributes) != 0; }
   };
 
@@ -109,6 +111,7 @@
   void close(Connection& connection);
 
   ev::loop_ref loop_;
+  net::ReadQueue& read_queue_;
   const config::MysqlFront& config_;
   const config::NameIndex& names_;
   const heronwell::Settings& settings_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -13,15 +14,25 @@
 constexpr double kAcceptPauseSeconds = 0.05;
 }  // namespace
 
-Stream::Stream(ev::loop_ref loop, Fd fd, bool connecting, std::size_t max_unsent_bytes)
-    : io_(loop), fd_(std::move(fd)), connecting_(connecting), max_unsent_bytes_(max_unsent_bytes) {
+Stream::Stream(ev::loop_ref loop, Fd fd, bool connecting, std::size_t max_unsent_bytes, ReadQueue* read_queue)
+    : io_(loop),
+      fd_(std::move(fd)),
+      connecting_(connecting),
+      max_unsent_bytes_(max_unsent_bytes),
+      read_queue_(read_queue) {
   io_.set<Stream, &Stream::on_io>(this);
   if (fd_) update_watcher();
 }
 
+Stream::~Stream() {
+  if (read_queue_ != nullptr) read_queue_->remove(*this);
+}
+
+bool Stream::reads() const { return fd_ && !connecting_ && !paused_ && !input_ended_ && !failed_; }
+
 void Stream::update_watcher() {
   int events = 0;
-  if (!connecting_ && !paused_ && !input_ended_ && !failed_) events |= ev::READ;
+  if (reads()) events |= ev::READ;
   if (connecting_ || unsent_bytes() > 0 || failed_) events |= ev::WRITE;
   if (events == 0) {
     io_.stop();
@@ -67,6 +78,7 @@
 void Stream::close() {
   *alive_ = false;
   alive_ = std::make_shared<bool>(true);
+  if (read_queue_ != nullptr) read_queue_->remove(*this);
   io_.stop();
   fd_.reset();
 }
@@ -121,21 +133,50 @@
   const auto alive = alive_;
   if ((events & ev::WRITE) != 0) flush();
   if (!*alive || !fd_) return;
-  if ((events & ev::READ) != 0) read();
+  if ((events & ev::READ) != 0) on_readable();
 }
 
-void Stream::read() {
-  static std::array<char, std::size_t{64} * 1024> buffer;  // shared: there is one event loop on one thread
-  const auto received = ::recv(fd_.get(), buffer.data(), buffer.size(), 0);
-  if (received > 0) {
-    if (handlers_.data) handlers_.data({buffer.data(), static_cast<std::size_t>(received)});
+void Stream::set_reading(ReadPriority priority, std::size_t max_bytes) {
+  read_priority_ = priority;
+  max_read_bytes_ = max_bytes;
+}
+
+void Stream::on_readable() {
+  if (read_queue_ == nullptr) {
+    read(kReadBufferBytes);
     return;
   }
-  if (received < 0 && transient(errno)) return;
-  if (received < 0) return fail();
+  read_queue_->add(*this, read_priority_);
+}
+
+void Stream::read_input() {
+  const auto alive = alive_;
+  std::size_t total = 0;
+  while (*alive && reads() && total < max_read_bytes_) {
+    const auto wanted = std::min(kReadBufferBytes, max_read_bytes_ - total);
+    const auto received = read(wanted);
+    if (received < wanted) return;
+    total += received;
+  }
+}
+
+std::size_t Stream::read(std::size_t max_bytes) {
+  static std::array<char, kReadBufferBytes> buffer;  // shared: there is one event loop on one thread
+  const auto received = ::recv(fd_.get(), buffer.data(), std::min(max_bytes, buffer.size()), 0);
+  if (received > 0) {
+    const auto size = static_cast<std::size_t>(received);
+    if (handlers_.data) handlers_.data({buffer.data(), size});
+    return size;
+  }
+  if (received < 0 && transient(errno)) return 0;
+  if (received < 0) {
+    fail();
+    return 0;
+  }
   input_ended_ = true;
   update_watcher();
   if (handlers_.end_of_input) handlers_.end_of_input();
+  return 0;
 }
 
 void Stream::flush() {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/read_queue.hpp"
 #include "net/socket.hpp"
 
 namespace bellstair::net {
@@ -16,6 +17,9 @@
 // One TCP connection. The content of the byte stream is up to its owner.
 class Stream {
  public:
+  // The most that is read by one system call.
+  static constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
+
   // Callbacks, all invoked from the event loop. Any of them may be empty.
   struct Handlers {
     std::function<void()> connected;             // an outgoing connection has been established
@@ -26,8 +30,11 @@
   };
 
   // `connecting`: the connection is still being established, see begin_connect(). `max_unsent_bytes`:
-  // capacity of the output buffer.
-  Stream(ev::loop_ref loop, Fd fd, bool connecting, std::size_t max_unsent_bytes);
+  // capacity of the output buffer. `read_queue`: decides when it is read, and must outlive it; null: whenever
+  // it is readable.
+  Stream(ev::loop_ref loop, Fd fd, bool connecting, std::size_t max_unsent_bytes,
+         ReadQueue* read_queue = nullptr);
+  ~Stream();
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
 
@@ -42,6 +49,11 @@
   void abort();
   // Stops (true) or resumes (false) reading.
   void pause_reading(bool paused);
+  // Sets the priority in the read queue, and how many bytes are read at most before other streams get a turn.
+  // From now on; it may be called from within a handler.
+  void set_reading(ReadPriority priority, std::size_t max_bytes);
+  // Reads once it is this stream's turn in the read queue. Does nothing if it doesn't read now.
+  void read_input();
   // Closes the sending side once the output buffer is empty. Reading goes on: closing a socket with unread
   // input would reset the connection, and the peer would lose what it has not read yet.
   void shut_down_write();
@@ -58,7 +70,11 @@
 
  private:
   void on_io(ev::io& watcher, int events);
-  void read();
+  // Whether it waits for input.
+  [[nodiscard]] bool reads() const;
+  void on_readable();
+  // Reads once, at most so many bytes. Returns how many it has read.
+  std::size_t read(std::size_t max_bytes);
   void flush();
   void fail();
 
@@ -67,6 +83,9 @@
   bool connecting_, paused_ = false, input_ended_ = false, failed_ = false, write_closing_ = false,
                     reset_before_connected_ = false;
   std::size_t max_unsent_bytes_;
+  ReadQueue* read_queue_;
+  ReadPriority read_priority_ = ReadPriority::prompt;
+  std::size_t max_read_bytes_ = kReadBufferBytes;
   std::string output_;
   std::size_t output_offset_ = 0, sent_bytes_ = 0;
   Handlers handlers_;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -12,10 +12,11 @@
 constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
 }  // namespace
 
-Front::Front(ev::loop_ref loop, net::Fd listening, const config::NameIndex& names,
+Front::Front(ev::loop_ref loop, net::Fd listening, net::ReadQueue& read_queue, const config::NameIndex& names,
              std::size_t max_connections, std::uint64_t& last_client_handle, std::function<bool()> ready,
              net::EventSink emit)
     : loop_(loop),
+      read_queue_(read_queue),
       names_(names),
       max_connections_(max_connections),
       last_client_handle_(last_client_handle),
@@ -54,11 +55,22 @@
   connection.rank = rank;
 }
 
+// The input of clients that have sent useless input, or much before their first request, is read after that
+// of all others: it may come without end, and to parse it takes time that the others need.
+void Front::update_reading(Connection& connection) {
+  const bool sends_much = !connection.request_received && connection.partial_line.size() >= kFirstReadBytes;
+  if (connection.sends_useless_input || connection.half_closed || sends_much)
+    return connection.stream.set_reading(net::ReadPriority::bulk, kBulkReadBytes);
+  connection.stream.set_reading(net::ReadPriority::prompt,
+                                connection.request_received ? kMaxLineBytes : kFirstReadBytes);
+}
+
 void Front::accept(net::Fd fd) {
   if (!make_room()) return;
-  auto created = std::make_unique<Connection>(loop_, std::move(fd));
+  auto created = std::make_unique<Connection>(loop_, std::move(fd), read_queue_);
   auto& connection = *created;
   connection.id = ++last_connection_id_;
+  update_reading(connection);
   connection.timeout_start = now_;
   auto& unidentified = by_rank_[static_cast<std::size_t>(EvictionRank::unidentified)];
   connection.rank_position = unidentified.insert(unidentified.end(), &connection);
@@ -66,7 +78,11 @@
   arm_timer(connection, now_ + kSilenceTimeout);
   connection.stream.set_handlers({
       .connected = {},
-      .data = [this, &connection](std::string_view bytes) { on_data(connection, bytes); },
+      .data =
+          [this, &connection](std::string_view bytes) {
+            on_data(connection, bytes);
+            update_reading(connection);
+          },
       .end_of_input =
           [this, &connection] {
             // It may have closed its sending side only, so its open requests are still answered.
@@ -130,7 +146,9 @@
   connection.stream.write(rpc_error(id, code, reason));
   partial_bytes_ -= std::exchange(connection.partial_line, {}).size();
   connection.skips_line = true;
-  count_protocol_error(connection);
+  // Rejected to make room, the line may be a valid request.
+  if (code != kRpcRejected) return count_protocol_error(connection);
+  end_if_unusable(connection);
 }
 
 bool Front::end_if_unusable(Connection& connection) {
@@ -175,6 +193,7 @@
 }
 
 void Front::count_protocol_error(Connection& connection) {
+  connection.sends_useless_input = true;
   if (++connection.protocol_errors == kMaxProtocolErrors) {
     connection.stream.write(rpc_error(std::nullopt, kRpcInvalidRequest, "too many lines of no use"));
     connection.rejects_requests = true;
@@ -310,7 +329,8 @@
 bool Front::receives_request() const {
   return std::ranges::any_of(connections_, [this](const auto& entry) {
     const auto& connection = *entry.second;
-    return !connection.partial_line.empty() && now_ < connection.timeout_start + kSilenceTimeout;
+    return !connection.partial_line.empty() && !connection.sends_useless_input &&
+           now_ < connection.timeout_start + kSilenceTimeout;
   });
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -27,10 +27,12 @@
 // every further request on it gets a response too.
 class Front {
  public:
-  // `names` must outlive this object. `last_client_handle` is the last client handle assigned; all fronts
-  // share it. `ready`: what a health call is answered with.
-  Front(ev::loop_ref loop, net::Fd listening, const config::NameIndex& names, std::size_t max_connections,
-        std::uint64_t& last_client_handle, std::function<bool()> ready, net::EventSink emit);
+  // `names` and `read_queue`, in which the connections wait to be read, must outlive this object.
+  // `last_client_handle` is the last client handle assigned; all fronts share it. `ready`: what a health call
+  // is answered with.
+  Front(ev::loop_ref loop, net::Fd listening, net::ReadQueue& read_queue, const config::NameIndex& names,
+        std::size_t max_connections, std::uint64_t& last_client_handle, std::function<bool()> ready,
+        net::EventSink emit);
 
   // The address that it listens on.
   [[nodiscard]] const std::string& address() const { return address_; }
@@ -55,6 +57,9 @@
   static constexpr std::size_t kMaxUnsentBytes = std::size_t{4} << 20;
   // Of the incomplete lines of all clients together. Beyond it the line that uses most of it is rejected.
   static constexpr std::size_t kMaxPartialBytes = std::size_t{4} << 20;
+  // Read at once from a connection that has sent no valid request yet, and from one whose input can wait.
+  static constexpr std::size_t kFirstReadBytes = std::size_t{4} * 1024;
+  static constexpr std::size_t kBulkReadBytes = std::size_t{16} * 1024;
   // On one connection.
   static constexpr unsigned kMaxProtocolErrors = 64;
   static constexpr std::size_t kMaxOpenRequests = 32;
@@ -67,19 +72,21 @@
     net::Stream stream;
     std::string partial_line;
     std::uint64_t max_request_id = 0;
-    bool input_ended = false;       // the client has closed its sending side
-    bool line_received = false;     // a complete line has been received
-    bool request_received = false;  // a request has been accepted
-    bool skips_line = false;        // the current line was rejected, and the rest of it is dropped
-    bool rejects_requests = false;  // after too many invalid lines
-    bool half_closed = false;       // by this side: nothing more is sent, and further input is dropped
+    bool input_ended = false;          // the client has closed its sending side
+    bool line_received = false;        // a complete line has been received
+    bool request_received = false;     // a request has been accepted
+    bool skips_line = false;           // the current line was rejected, and the rest of it is dropped
+    bool rejects_requests = false;     // after too many invalid lines
+    bool sends_useless_input = false;  // has sent something that is no valid request
+    bool half_closed = false;          // by this side: nothing more is sent, and further input is dropped
     bool timer_armed = false;
     unsigned protocol_errors = 0;
     core::Time timeout_start{};  // when it was accepted, last sent part of a line, or was half-closed
     EvictionRank rank = EvictionRank::unidentified;
     std::list<Connection*>::iterator rank_position;
     std::unordered_map<std::uint64_t, core::ClientHandle> open_requests;  // by the client's request id
-    Connection(ev::loop_ref loop, net::Fd fd) : stream(loop, std::move(fd), false, kMaxUnsentBytes) {}
+    Connection(ev::loop_ref loop, net::Fd fd, net::ReadQueue& read_queue)
+        : stream(loop, std::move(fd), false, kMaxUnsentBytes, &read_queue) {}
   };
   struct OpenRequest {
     std::uint64_t connection_id = 0, request_id = 0;
@@ -114,10 +121,13 @@
   void count_protocol_error(Connection& connection);
   void arm_timer(Connection& connection, core::Time at);
   void update_rank(Connection& connection);
+  // Decides how soon and how much at once the connection is read from now on.
+  void update_reading(Connection& connection);
   bool make_room();
 
   bool stopped_ = false;
   ev::loop_ref loop_;
+  net::ReadQueue& read_queue_;
   const config::NameIndex& names_;
   std::size_t max_connections_;
   std::uint64_t& last_client_handle_;
--- a/tests/net/front_harness.hpp
+++ b/tests/net/front_harness.hpp
@@ -11,8 +11,9 @@
  public:
   explicit TestFront(std::size_t max_connections = 8)
       : front(
-            loop, net::listen_tcp(net::parse_address("127.0.0.1:0").value()), names, max_connections, handles,
-            [] { return true; }, [this](core::Event event) { events.push_back(std::move(event)); }) {
+            loop, net::listen_tcp(net::parse_address("127.0.0.1:0").value()), read_queue, names,
+            max_connections, handles, [] { return true; },
+            [this](core::Event event) { events.push_back(std::move(event)); }) {
     names.classes["lookup"] = 0;
     names.tenants["acme"] = 0;
     names.class_names = {"lookup"};
@@ -25,10 +26,23 @@
     const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
     while (!condition() && std::chrono::steady_clock::now() < deadline) {
       loop.run(ev::ONCE);
+      read_clients(net::ReadPriority::prompt);
+      read_clients(net::ReadPriority::bulk);
       front.release_closed();
     }
     return condition();
   }
+  // Reads from the clients of this priority that are readable.
+  void read_clients(net::ReadPriority priority) {
+    while (!read_queue.empty(priority)) read_queue.read_next(priority);
+  }
+  // Runs the loop, without reading, until so many clients of this priority are readable.
+  bool run_until_readable(net::ReadPriority priority, std::size_t count) {
+    const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
+    while (read_queue.size(priority) < count && std::chrono::steady_clock::now() < deadline)
+      loop.run(ev::ONCE);
+    return read_queue.size(priority) == count;
+  }
   // Sends the bytes while the loop runs, since the front may have to read before all of them can be sent.
   bool send(Client& client, const std::string& bytes) {
     auto sent = std::async(std::launch::async, [&] { return client.socket.send(bytes); });
@@ -63,6 +77,7 @@
   std::uint64_t handles = 0;
   core::Time now{1000s};
   std::vector<core::Event> events;
+  net::ReadQueue read_queue;
   platform::Front front;
 };
 
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -280,5 +280,41 @@
   EXPECT_TRUE(idle.socket.read_to_end());
 }
 
+// Guards against usual clients that wait while the input of others, which is no use, is parsed.
+TEST(Front, RequestsAreReadBeforeTheInputOfClientsThatSendUselessLines) {
+  TestFront test;
+  Client known(test.front.address()), useless(test.front.address()), fresh(test.front.address());
+  known.socket.send(request_line(1));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  useless.socket.send("{}\n");
+  EXPECT_TRUE(test.read_response(useless).contains("error"));
+  useless.socket.send("{}\n");
+  known.socket.send(request_line(2));
+  fresh.socket.send(request_line(1));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::bulk, 1));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 2));
+  test.read_clients(net::ReadPriority::prompt);
+  EXPECT_EQ(test.count_events<core::RequestArrived>(), 3U);
+  EXPECT_FALSE(useless.socket.has_unread_bytes());
+  test.read_clients(net::ReadPriority::bulk);
+  EXPECT_TRUE(test.read_response(useless).contains("error"));
+}
+
+// Guards against a large first request that is never read because it counts as input that can wait, and
+// against later requests that wait although their client is known by then.
+TEST(Front, LargeFirstRequestIsReadInPartsAndLaterOnesAtOnce) {
+  TestFront test;
+  Client client(test.front.address());
+  client.socket.send(request_line(1, 40'000));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 1));
+  test.read_clients(net::ReadPriority::prompt);
+  EXPECT_EQ(test.count_events<core::RequestArrived>(), 0U);
+  ASSERT_TRUE(test.wait_for_requests(1));
+  client.socket.send(request_line(2, 40'000));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 1));
+  test.read_clients(net::ReadPriority::prompt);
+  EXPECT_TRUE(test.wait_for_requests(2));
+}
+
 }  // namespace
 }  // namespace bellstair::test
