Process what clients send in the order in which it was received

Cause: requests are numbered as they are read. libev calls the handlers of one poll from the last to the first, and a connection that is not accepted yet is read an iteration later.

Change: net::ReadQueue sorts by the time at which a connection's last bytes were received (TCP_INFO, no wall clock); app::ClientEvents sorts the events of all clients between two polls, keeping the order within a connection. New connections are read in the iteration in which they are accepted. Several requests of one connection within a pause are spread over the span of their arrival: the system tells no more.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -209,20 +209,17 @@
 }
 
 void Broker::post(core::Event event) {
-  if (const auto* arrived = std::get_if<core::RequestArrived>(&event); arrived != nullptr)
-    queued_request_bytes_ += arrived->request.body.size() + arrived->request.parameters.size();
+  if (ClientEvents::is_client_event(event))
+    return client_events_.add(std::move(event), core::monotonic_now());
   events_.push_back(std::move(event));
 }
 
 void Broker::read_clients(net::ReadPriority priority, core::Time max_time) {
   const auto end = core::monotonic_now() + max_time;
-  while (!read_queue_.empty(priority) && queued_request_bytes_ <= kMaxQueuedRequestBytes) {
-    const auto first_event = events_.size();
-    const auto earliest_arrival = read_queue_.read_next(priority);
-    for (auto i = first_event; i < events_.size(); ++i) {
-      if (auto* arrived = std::get_if<core::RequestArrived>(&events_[i]))
-        arrived->received_at = earliest_arrival;
-    }
+  while (!read_queue_.empty(priority) && client_events_.request_bytes() <= kMaxQueuedRequestBytes) {
+    const auto first_event = client_events_.size();
+    const auto arrival = read_queue_.read_next(priority);
+    client_events_.set_arrival(first_event, arrival);
     if (core::monotonic_now() >= end) return;
   }
 }
@@ -245,14 +242,14 @@
     engine_driver_->process_pending();
     platform_front_->release_closed();
     if (mysql_front_) mysql_front_->release_closed();
-  } while (!events_.empty());
+  } while (!events_.empty() || !client_events_.empty());
   const auto due = reducer_.next_policy_run();
   if (!due) return;
   policy_timer_.start(std::max(0.0, seconds(*due - core::monotonic_now())) + 1e-5, 0);
 }
 
 void Broker::process_events() {
-  queued_request_bytes_ = 0;
+  client_events_.move_to(events_);
   while (!events_.empty()) {
     auto event = std::move(events_.front());
     events_.pop_front();
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 
+#include "app/client_events.hpp"
 #include "config/config.hpp"
 #include "config/fronts.hpp"
 #include "core/reducer.hpp"
@@ -44,8 +45,8 @@
   void on_check(ev::check& check, int events);
   // Hands the time to all components, which fire their timers.
   void advance_time();
-  // Reads from clients, in the order in which they became readable, until none of this priority waits or so
-  // much time has passed.
+  // Reads from clients, in the order in which their input was received, until none of this priority waits or
+  // so much time has passed.
   void read_clients(net::ReadPriority priority, core::Time max_time);
   void log_wall_clock_jumps();
   void on_reload(ev::timer& timer, int events);
@@ -82,7 +83,7 @@
   config::Fronts fronts_;
   std::uint64_t last_client_handle_ = 0;  // all fronts assign handles from this
   std::deque<core::Event> events_;        // not yet processed
-  std::size_t queued_request_bytes_ = 0;  // of the requests in events_
+  ClientEvents client_events_;            // to be processed after these
   core::Effects effects_;
   core::Reducer reducer_;
   std::unique_ptr<net::EngineDriver> engine_driver_;
--- a/src/net/read_queue.cpp
+++ b/src/net/read_queue.cpp
@@ -1,30 +1,52 @@
 #include "net/read_queue.hpp"
 
+#include <algorithm>
+
 #include "net/stream.hpp"
 
 namespace bellstair::net {
+namespace {
+constexpr std::int64_t kMaxReportsPerPoll = std::int64_t{1}
+                                            << 24;  // more than a process may have descriptors
+}  // namespace
 
-void ReadQueue::on_poll(core::Time previous, core::Time) { previous_poll_ = previous; }
+void ReadQueue::on_poll(core::Time previous, core::Time now) {
+  previous_poll_ = previous;
+  last_poll_ = now;
+  ++polls_;
+  reports_ = 0;
+}
 
 void ReadQueue::add(Stream& stream, ReadPriority priority) {
-  if (places_.contains(&stream)) return;
-  const auto position = ++last_position_;
-  places_.emplace(&stream, Place{priority, position});
-  waiting(priority).emplace(position, Waiting{&stream, previous_poll_});
+  auto& state = streams_[&stream];
+  if (state.position) return;
+  Arrival arrival;
+  arrival.end = std::max(state.last_arrival, last_poll_ - stream.time_since_data());
+  arrival.begin = std::max(state.last_arrival, std::min(previous_poll_, arrival.end));
+  state.last_arrival = arrival.end;
+  state.priority = priority;
+  // The system reports streams in the order in which they became readable; libev turns that of one poll
+  // round.
+  arrival.report = polls_ * kMaxReportsPerPoll - ++reports_;
+  state.position = Position{arrival.end, arrival.report};
+  waiting(priority).emplace(*state.position, Waiting{&stream, arrival});
 }
 
 void ReadQueue::remove(const Stream& stream) {
-  const auto found = places_.find(&stream);
-  if (found == places_.end()) return;
-  waiting(found->second.priority).erase(found->second.position);
-  places_.erase(found);
+  const auto found = streams_.find(&stream);
+  if (found == streams_.end()) return;
+  const auto& state = found->second;
+  if (state.position) waiting(state.priority).erase(*state.position);
+  streams_.erase(found);
 }
 
-core::Time ReadQueue::read_next(ReadPriority priority) {
-  const auto next = waiting(priority).begin()->second;
-  remove(*next.stream);
+Arrival ReadQueue::read_next(ReadPriority priority) {
+  auto& line = waiting(priority);
+  const auto next = line.begin()->second;
+  line.erase(line.begin());
+  streams_.at(next.stream).position.reset();
   next.stream->read_input();
-  return next.earliest_arrival;
+  return next.arrival;
 }
 
 }  // namespace bellstair::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -6,6 +6,7 @@
 
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 
 namespace bellstair::net {
 namespace {
@@ -95,4 +96,13 @@
   return error;
 }
 
+core::Time time_since_data(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return core::Time::zero();
+  if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv)
+    return core::Time::zero();
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 }  // namespace bellstair::net
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "core/clock.hpp"
+
 namespace bellstair::net {
 
 // Parses an address such as "10.0.0.4:8080"; nullopt if it is malformed. Host names are not resolved.
@@ -62,5 +64,8 @@
 [[nodiscard]] bool transient(int error);
 // The errno value that a connect ended with; 0 if the socket is connected.
 [[nodiscard]] int connect_error(int fd);
+// How long ago the last bytes of a connected TCP socket's peer were received, to a few milliseconds, whether
+// or not they have been read; 0 if the system doesn't tell. No clock that can be set bears on it.
+[[nodiscard]] core::Time time_since_data(int fd);
 
 }  // namespace bellstair::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -133,7 +133,7 @@
   const auto alive = alive_;
   if ((events & ev::WRITE) != 0) flush();
   if (!*alive || !fd_) return;
-  if ((events & ev::READ) != 0) on_readable();
+  if ((events & ev::READ) != 0) queue_for_reading();
 }
 
 void Stream::set_reading(ReadPriority priority, std::size_t max_bytes) {
@@ -141,7 +141,7 @@
   max_read_bytes_ = max_bytes;
 }
 
-void Stream::on_readable() {
+void Stream::queue_for_reading() {
   if (read_queue_ == nullptr) {
     read(kReadBufferBytes);
     return;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -52,7 +52,9 @@
   // Sets the priority in the read queue, and how many bytes are read at most before other streams get a turn.
   // From now on; it may be called from within a handler.
   void set_reading(ReadPriority priority, std::size_t max_bytes);
-  // Reads once it is this stream's turn in the read queue. Does nothing if it doesn't read now.
+  // Has it read in its turn, without waiting until the loop reports that it is readable.
+  void queue_for_reading();
+  // Reads now that it is this stream's turn in the read queue; does nothing if it is paused or closed.
   void read_input();
   // Closes the sending side once the output buffer is empty. Reading goes on: closing a socket with unread
   // input would reset the connection, and the peer would lose what it has not read yet.
@@ -67,12 +69,14 @@
   [[nodiscard]] std::size_t sent_bytes() const { return sent_bytes_; }
   // For an idle stream: true if the peer has closed it, or has sent unsolicited data.
   [[nodiscard]] bool closed_by_peer() const;
+  // How long ago the peer's last bytes were received, whether or not they have been read; 0 if that is
+  // unknown.
+  [[nodiscard]] core::Time time_since_data() const { return net::time_since_data(fd_.get()); }
 
  private:
   void on_io(ev::io& watcher, int events);
   // Whether it waits for input.
   [[nodiscard]] bool reads() const;
-  void on_readable();
   // Reads once, at most so many bytes. Returns how many it has read.
   std::size_t read(std::size_t max_bytes);
   void flush();
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -98,6 +98,8 @@
             update_rank(connection);
           },
   });
+  // What it has sent by now was perhaps received before what the loop reports of other connections.
+  connection.stream.queue_for_reading();
 }
 
 void Front::arm_timer(Connection& connection, core::Time at) {
--- a/tests/faults/process_pause_test.cpp
+++ b/tests/faults/process_pause_test.cpp
@@ -88,5 +88,93 @@
   EXPECT_EQ(engine.post_count(), 2U);
 }
 
+// Two requests of one key are written at least this far apart; where the first comes on a new connection,
+// four times as far.
+constexpr auto kKeyGap = 65ms;
+
+// A broker with one engine, and two clients whose connections have carried a request.
+struct OrderedRequests {
+  OrderedRequests() {
+    for (auto* client : {&first, &second}) {
+      EXPECT_TRUE(client->is_ready());
+      send(*client, "lookup", "");
+      EXPECT_EQ(result_body(client->read_response()), "x\ty\tz\n");
+    }
+  }
+  // Pauses the program, once it has polled its connections since it read from them last.
+  void pause() {
+    Client other(broker.address);
+    EXPECT_TRUE(other.is_ready());
+    broker.program->pause();
+  }
+  // Sends a request under the next ticket, of this key if it has one.
+  void send(Client& client, const std::string& class_name, const std::string& key) {
+    json params{{"txn", ticket(next_ticket)}};
+    if (!key.empty()) params["item"] = key;
+    client.send_request(static_cast<int>(++next_ticket), class_name, kStatement, params);
+  }
+  // Sends a request of the key from each client, the second one kKeyGap later.
+  void send_pair(Client& earlier, Client& later, const std::string& key) {
+    send(earlier, "load", key);
+    std::this_thread::sleep_for(kKeyGap);
+    send(later, "load", key);
+  }
+  // Expects that the requests from number `from` on have reached the engine by their keys in this order, once
+  // all have been answered.
+  void expect_order_per_key(unsigned from, unsigned pairs) {
+    for (unsigned i = 0; i < pairs; ++i) {
+      const auto earlier = ticket(from + 2 * i), later = ticket(from + 2 * i + 1);
+      const auto has_ticket = [&](const HttpRequest& request) {
+        return is_post(request) &&
+               (request.headers.at("X-Ticket") == earlier || request.headers.at("X-Ticket") == later);
+      };
+      EXPECT_EQ(engine.requests.wait_for(has_ticket).headers.at("X-Ticket"), earlier) << "pair " << i;
+    }
+  }
+  HttpEngine engine{[](const HttpRequest&) { return rows_response("x\ty\tz\n"); }};
+  Broker broker{{{"s-00000001", engine.server.address()}}};
+  Client first{broker.address}, second{broker.address};
+  unsigned next_ticket = 0;
+};
+
+// Guards against requests of one key that run in the order in which the loop reports their connections, and
+// not in that in which they were received.
+TEST(ProcessPause, RequestsOfOneKeyRunInTheOrderInWhichTheyWereReceived) {
+  OrderedRequests test;
+  const auto from = test.next_ticket;
+  test.pause();
+  test.send_pair(test.first, test.second, "7f3a9c21e0b4d655");
+  test.send_pair(test.second, test.first, "7f3a9c21e0b4d656");
+  test.broker.program->send_signal(SIGCONT);
+  test.expect_order_per_key(from, 2);
+}
+
+// The same for connections that carry several requests each during the pause.
+TEST(ProcessPause, SeveralRequestsOnTheSameConnectionsKeepTheirOrderByKey) {
+  constexpr unsigned kPairs = 6;
+  OrderedRequests test;
+  const auto from = test.next_ticket;
+  test.pause();
+  for (unsigned i = 0; i < kPairs; ++i) {
+    test.send_pair(test.first, test.second, "7f3a9c21e0b4d65" + std::to_string(i));
+    std::this_thread::sleep_for(kKeyGap);
+  }
+  test.broker.program->send_signal(SIGCONT);
+  test.expect_order_per_key(from, kPairs);
+}
+
+// The same for a first request on a connection that has not been accepted yet.
+TEST(ProcessPause, RequestOnANewConnectionRunsBeforeALaterOneOfItsKey) {
+  OrderedRequests test;
+  const auto from = test.next_ticket;
+  test.pause();
+  Client fresh(test.broker.address);
+  test.send(fresh, "load", "7f3a9c21e0b4d655");
+  std::this_thread::sleep_for(4 * kKeyGap);
+  test.send(test.second, "load", "7f3a9c21e0b4d655");
+  test.broker.program->send_signal(SIGCONT);
+  test.expect_order_per_key(from, 1);
+}
+
 }  // namespace
 }  // namespace bellstair::test
