Answer a rejected line once its id has been received

Cause: a line that is rejected before its end was answered at once, with the id as far as it had come, and the rest of it, in which the id came, was dropped unread.

Requests whose id comes first were answered.

Change: the rest of a rejected line is scanned for its id in constant memory (RpcIdScanner, in place of the search in the beginning of a line), and the one response is sent when the id has come, or at the line's end. Too long lines take the same path. Until then the connection is neither half-closed nor preferred when room is made, and SIGTERM waits for the line as for any other. Bad clients still get their error: 1 s after a line has become too long, or after 2 s of silence.

Tests: Front.RequestRejectedBeforeItsIdIsReceivedIsNamedOnceItIs and .WaitsForTheIdOfARejectedLineBeforeAShutdown fail with the response sent at once, as before; three more keep what bad clients are owed. JsonRpc.* cover the scanner; the cases of the function that it replaces are kept.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -10,6 +10,8 @@
 // than that for the rest of a request. kLingerTimeout is the time to read the last output, while further
 // input is read and dropped.
 constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
+// A line that is too long is answered without its id if that has not been received this much later.
+constexpr core::Time kIdTimeout = 1s;
 }  // namespace
 
 Front::Front(ev::loop_ref loop, net::Fd listening, net::ReadQueue& read_queue, const config::NameIndex& names,
@@ -36,7 +38,7 @@
     close(*unidentified.front());
     return true;
   }
-  const auto receives_nothing = [](const Connection* connection) { return connection->partial_line.empty(); };
+  const auto receives_nothing = [](const Connection* connection) { return !receives_line(*connection); };
   const auto found = std::ranges::find_if(idle, receives_nothing);
   close(found != idle.end() ? **found : *idle.front());
   return true;
@@ -58,7 +60,8 @@
 // The input of clients that have sent useless input, or much before their first request, is read after that
 // of all others: it may come without end, and to parse it takes time that the others need.
 void Front::update_reading(Connection& connection) {
-  const bool sends_much = !connection.request_received && connection.partial_line.size() >= kFirstReadBytes;
+  const bool line_is_long = connection.skips_line || connection.partial_line.size() >= kFirstReadBytes;
+  const bool sends_much = !connection.request_received && line_is_long;
   if (connection.sends_useless_input || connection.half_closed || sends_much)
     return connection.stream.set_reading(net::ReadPriority::bulk, kBulkReadBytes);
   connection.stream.set_reading(net::ReadPriority::prompt,
@@ -103,7 +106,8 @@
 }
 
 void Front::arm_timer(Connection& connection, core::Time at) {
-  if (std::exchange(connection.timer_armed, true)) return;
+  if (connection.timer_at != core::Time::zero() && connection.timer_at <= at) return;
+  connection.timer_at = at;
   timers_.arm(at, connection.id);
 }
 
@@ -115,14 +119,20 @@
     const auto found = connections_.find(connection_id);
     if (found == connections_.end()) return;
     auto& connection = *found->second;
-    connection.timer_armed = false;
+    if (now_ < connection.timer_at) return;  // an earlier timer has fired and armed another
+    connection.timer_at = core::Time::zero();
     if (connection.half_closed && now_ >= connection.timeout_start + kLingerTimeout) return close(connection);
     if (connection.half_closed) return arm_timer(connection, connection.timeout_start + kLingerTimeout);
+    if (connection.rejection && connection.rejection->deadline != core::Time::zero()) {
+      if (now_ >= connection.rejection->deadline) return send_rejection(connection);
+      arm_timer(connection, connection.rejection->deadline);
+    }
     if (connection.request_received) return;
-    if (connection.line_received && connection.partial_line.empty()) return;
+    if (connection.line_received && !receives_line(connection)) return;
     if (now_ < connection.timeout_start + kSilenceTimeout)
       return arm_timer(connection, connection.timeout_start + kSilenceTimeout);
-    reject_line(connection, kRpcInvalidRequest, "no whole request came");
+    if (!connection.rejection) reject_line(connection, kRpcInvalidRequest, "no whole request came");
+    if (connection.rejection) send_rejection(connection);
   });
 }
 
@@ -142,20 +152,44 @@
 }
 
 void Front::reject_line(Connection& connection, int code, std::string_view reason) {
-  auto id = rpc_id_of_incomplete_line(connection.partial_line);
+  const auto line = std::exchange(connection.partial_line, {});
+  partial_bytes_ -= line.size();
+  connection.skips_line = true;
+  connection.rejection.emplace(Rejection{code, reason, {}, 0, {}});
+  on_skipped_bytes(connection, line);
+}
+
+// The client waits for a response that names its request, and may write the id behind the long part.
+void Front::on_skipped_bytes(Connection& connection, std::string_view bytes) {
+  if (!connection.rejection) return;  // it has been sent
+  auto& rejection = *connection.rejection;
+  rejection.scanner.feed(bytes);
+  if (rejection.scanner.id()) return send_rejection(connection);
+  rejection.line_bytes += bytes.size();
+  if (rejection.line_bytes <= kMaxLineBytes || rejection.deadline != core::Time::zero()) return;
+  rejection.deadline = now_ + kIdTimeout;
+  connection.sends_useless_input = true;
+  arm_timer(connection, rejection.deadline);
+}
+
+void Front::send_rejection(Connection& connection) {
+  const auto rejection = *std::exchange(connection.rejection, std::nullopt);
+  auto id = rejection.scanner.id();
   if (id && connection.open_requests.contains(*id))
     id.reset();  // it would be the response to the open request
-  connection.stream.write(rpc_error(id, code, reason));
-  partial_bytes_ -= std::exchange(connection.partial_line, {}).size();
-  connection.skips_line = true;
+  connection.stream.write(rpc_error(id, rejection.code, rejection.reason));
   // Rejected to make room, the line may be a valid request.
-  if (code != kRpcRejected) return count_protocol_error(connection);
+  if (rejection.code != kRpcRejected) return count_protocol_error(connection);
   end_if_unusable(connection);
 }
 
 bool Front::end_if_unusable(Connection& connection) {
-  const bool unusable = stopped_ || connection.skips_line || connection.rejects_requests;
+  const bool skips_answered_line = connection.skips_line && !connection.rejection;
+  const bool unusable = stopped_ || skips_answered_line || connection.rejects_requests;
   if (!unusable || connection.half_closed || !connection.open_requests.empty()) return false;
+  if (connection.rejection)
+    connection.stream.write(
+        rpc_error(std::nullopt, connection.rejection->code, connection.rejection->reason));
   half_close(connection);
   return true;
 }
@@ -180,10 +214,11 @@
 void Front::half_close(Connection& connection) {
   connection.half_closed = true;
   partial_bytes_ -= std::exchange(connection.partial_line, {}).size();
+  connection.rejection.reset();
   connection.stream.shut_down_write();
   update_rank(connection);
   connection.timeout_start = now_;
-  connection.timer_armed = false;
+  connection.timer_at = core::Time::zero();
   arm_timer(connection, now_ + kLingerTimeout);
 }
 
@@ -216,12 +251,20 @@
   }
   if (!reads_lines(connection)) return;
   update_rank(connection);
-  if (!bytes.empty() && !connection.skips_line) on_partial_line(connection, bytes);
+  if (bytes.empty()) return;
+  if (!connection.skips_line) return on_partial_line(connection, bytes);
+  connection.timeout_start = now_;
+  on_skipped_bytes(connection, bytes);
 }
 
 // A line that was received at once is parsed in place; only an incomplete line is copied.
 void Front::on_line_end(Connection& connection, std::string_view bytes) {
-  if (std::exchange(connection.skips_line, false)) return;
+  if (connection.skips_line) {
+    connection.skips_line = false;
+    on_skipped_bytes(connection, bytes);
+    if (connection.rejection) send_rejection(connection);
+    return;
+  }
   if (connection.partial_line.empty()) return on_line(connection, bytes);
   partial_bytes_ -= connection.partial_line.size();
   const auto line = std::exchange(connection.partial_line, {}).append(bytes);
@@ -331,11 +374,16 @@
 bool Front::receives_request() const {
   return std::ranges::any_of(connections_, [this](const auto& entry) {
     const auto& connection = *entry.second;
-    return !connection.partial_line.empty() && !connection.sends_useless_input &&
+    return receives_line(connection) && !connection.sends_useless_input &&
            now_ < connection.timeout_start + kSilenceTimeout;
   });
 }
 
+std::size_t Front::rejected_lines() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      connections_, [](const auto& entry) { return entry.second->rejection.has_value(); }));
+}
+
 bool Front::has_unsent_output() const {
   if (stopped_) return !connections_.empty();
   return std::ranges::any_of(connections_, [](const auto& c) { return c.second->stream.unsent_bytes() > 0; });
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -18,6 +18,7 @@
 #include "net/driver.hpp"
 #include "net/stream.hpp"
 #include "platform/jsonrpc.hpp"
+#include "platform/rpc_id_scanner.hpp"
 
 namespace bellstair::platform {
 
@@ -49,6 +50,8 @@
   [[nodiscard]] bool receives_request() const;
   // Bytes that it holds of the incomplete lines of all clients.
   [[nodiscard]] std::size_t partial_bytes() const { return partial_bytes_; }
+  // Lines that were rejected before their end and have not been answered yet, since their ids are not known.
+  [[nodiscard]] std::size_t rejected_lines() const;
   // True while output is waiting to be sent; after stop(), until all connections are closed.
   [[nodiscard]] bool has_unsent_output() const;
 
@@ -67,19 +70,28 @@
   // Connections are closed to make room in this order, busy ones never. unidentified: has sent no valid
   // request, or is half-closed by this side.
   enum class EvictionRank { unidentified, idle, busy };
+  // The response to a line that is rejected before its id has been received.
+  struct Rejection {
+    int code = 0;
+    std::string_view reason;
+    RpcIdScanner scanner;
+    std::size_t line_bytes = 0;
+    core::Time deadline{};  // it is sent without an id then; 0: not while the client goes on sending
+  };
   struct Connection {
     std::uint64_t id = 0;
     net::Stream stream;
     std::string partial_line;
     std::uint64_t max_request_id = 0;
-    bool input_ended = false;          // the client has closed its sending side
-    bool line_received = false;        // a complete line has been received
-    bool request_received = false;     // a request has been accepted
-    bool skips_line = false;           // the current line was rejected, and the rest of it is dropped
-    bool rejects_requests = false;     // after too many invalid lines
-    bool sends_useless_input = false;  // has sent something that is no valid request
-    bool half_closed = false;          // by this side: nothing more is sent, and further input is dropped
-    bool timer_armed = false;
+    bool input_ended = false;            // the client has closed its sending side
+    bool line_received = false;          // a complete line has been received
+    bool request_received = false;       // a request has been accepted
+    bool skips_line = false;             // the current line was rejected, and the rest of it is dropped
+    bool rejects_requests = false;       // after too many invalid lines
+    bool sends_useless_input = false;    // has sent something that is no valid request
+    bool half_closed = false;            // by this side: nothing more is sent, and further input is dropped
+    std::optional<Rejection> rejection;  // pending, while skips_line
+    core::Time timer_at{};               // of its earliest timer; 0: none is armed
     unsigned protocol_errors = 0;
     core::Time timeout_start{};  // when it was accepted, last sent part of a line, or was half-closed
     EvictionRank rank = EvictionRank::unidentified;
@@ -105,8 +117,17 @@
   void on_request(Connection& connection, RpcRequest& request);
   void on_cancel(Connection& connection, const RpcCancel& message);
   void close(Connection& connection);
-  // Responds with an error to a line of which only the beginning has been received, and drops the rest of it.
+  // Drops a line of which only the beginning has been received and the rest of it, and responds with an error
+  // once its id is known.
   void reject_line(Connection& connection, int code, std::string_view reason);
+  // Takes part of a rejected line.
+  void on_skipped_bytes(Connection& connection, std::string_view bytes);
+  // Sends the response to a rejected line, with its id if that is known.
+  void send_rejection(Connection& connection);
+  // Whether the rest of a line is still to come.
+  [[nodiscard]] static bool receives_line(const Connection& connection) {
+    return !connection.partial_line.empty() || connection.rejection;
+  }
   // Rejects incomplete lines until all that remain fit kMaxPartialBytes.
   void limit_partial_bytes();
   // The connection with the incomplete line to reject first; there must be one.
--- a/src/platform/jsonrpc.cpp
+++ b/src/platform/jsonrpc.cpp
@@ -146,22 +146,6 @@
   }
 }
 
-std::optional<std::uint64_t> rpc_id_of_incomplete_line(std::string_view text) {
-  // A number at the end may continue, so only the text before it is read.
-  text = text.substr(0, text.find_last_not_of("0123456789") + 1);
-  std::optional<std::uint64_t> id;
-  bool value_is_id = false;
-  const auto find_id = [&](int depth, json::parse_event_t event, json& parsed) {
-    if (depth > 1) return false;
-    if (event == json::parse_event_t::key) value_is_id = parsed == "id";
-    if (event == json::parse_event_t::value && value_is_id && parsed.is_number_unsigned())
-      id = parsed.get<std::uint64_t>();
-    return true;
-  };
-  [[maybe_unused]] const json incomplete = json::parse(text, find_id, false);
-  return id;
-}
-
 std::string rpc_result(std::uint64_t id, std::string_view body) {
   // Built directly: nothing in it needs escaping, and results are by far the longest messages.
   return "{\"jsonrpc\":\"2.0\",\"id\":" + std::to_string(id) + ",\"result\":{\"data\":\"" + to_base64(body) +
--- a/src/platform/jsonrpc.hpp
+++ b/src/platform/jsonrpc.hpp
@@ -43,9 +43,6 @@
 
 // Parses one line. `names` holds the classes and tenants of the configuration.
 [[nodiscard]] RpcMessage parse_rpc(std::string_view line, const config::NameIndex& names);
-// The id of the call that begins with `text`, the incomplete beginning of a line; nullopt if it isn't known
-// yet.
-[[nodiscard]] std::optional<std::uint64_t> rpc_id_of_incomplete_line(std::string_view text);
 // Format responses, each with its line feed. `body` is sent as base64; `retry_after` in milliseconds, and
 // only if it is positive.
 [[nodiscard]] std::string rpc_result(std::uint64_t id, std::string_view body);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/base64.hpp"
 #include "platform/http.hpp"
 #include "platform/jsonrpc.hpp"
+#include "platform/rpc_id_scanner.hpp"
 #include "sql/statement.hpp"
 #include "sql/value.hpp"
 
@@ -44,6 +45,12 @@
 }
 
 // Guards against a response with a wrong id to a line of which only the beginning is known.
+std::optional<std::uint64_t> scan_for_id(const std::vector<std::string>& parts) {
+  platform::RpcIdScanner scanner;
+  for (const auto& part : parts) scanner.feed(part);
+  return scanner.id();
+}
+
 TEST(JsonRpc, FindsTheIdOfAnIncompleteLineOnlyIfItIsComplete) {
   const std::pair<const char*, std::optional<std::uint64_t>> kCases[] = {
       {R"({"jsonrpc":"2.0","id":17,"method":"lookup","params":{"data":"AAA)", 17},
@@ -56,7 +63,24 @@
       {R"([{"id":1,)", std::nullopt},
       {"xxxx", std::nullopt},
       {"", std::nullopt}};
-  for (const auto& [text, id] : kCases) EXPECT_EQ(platform::rpc_id_of_incomplete_line(text), id) << text;
+  for (const auto& [text, id] : kCases) EXPECT_EQ(scan_for_id({text}), id) << text;
+}
+
+// Guards against an id that is missed because of where the parts of its line begin and end.
+TEST(JsonRpc, FindsTheIdHoweverTheLineIsDivided) {
+  const std::string lines[] = {
+      R"({"jsonrpc":"2.0","params":{"id":3,"list":[{"id":4}],"data":"\\\"id\":5,"}, "id" : 170 })",
+      R"({"\u0069\u0064":170,"method":"}{[]"})", R"({"method":"id","id":170,"params":["id",{"id":1}]})"};
+  for (const auto& line : lines) {
+    for (std::size_t size = 0; size <= line.size(); ++size)
+      EXPECT_EQ(scan_for_id({line.substr(0, size), line.substr(size)}), 170U) << line << ", " << size;
+  }
+}
+
+// Guards against memory that grows with a line that has no end.
+TEST(JsonRpc, LongKeysAndNumbersAreNoId) {
+  EXPECT_EQ(scan_for_id({"{\"id", std::string(100'000, 'd'), "\":1,"}), std::nullopt);
+  EXPECT_EQ(scan_for_id({"{\"id\":", std::string(100'000, '1'), ","}), std::nullopt);
 }
 
 TEST(Http, ReadsAResponseInPieces) {
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -140,6 +140,121 @@
   EXPECT_EQ(test.read_response(client)["id"], 3);
 }
 
+// Other clients that send incomplete requests until a line of another client, whose beginning of `bytes` has
+// been sent, is rejected to make room.
+std::vector<Client> reject_line_to_make_room(TestFront& test, std::size_t bytes) {
+  EXPECT_TRUE(test.wait_for_partial_bytes(bytes));
+  test.advance(500ms);
+  std::vector<Client> clients;
+  while (clients.size() <= kFillingClients && test.front.rejected_lines() == 0)
+    EXPECT_TRUE(test.send(clients.emplace_back(test.front.address()), incomplete_request(2, kLongPart)));
+  EXPECT_TRUE(test.run_until([&] { return test.front.rejected_lines() == 1; }));
+  return clients;
+}
+
+// A whole request of `size` bytes or a little more, with its id at the end.
+std::string request_line_with_last_id(int id, std::size_t size) {
+  const auto line = request_line(id, size);
+  const auto id_text = R"("id":)" + std::to_string(id) + ",";
+  const auto id_at = line.find(id_text);
+  return line.substr(0, id_at) +
+         line.substr(id_at + id_text.size(), line.size() - id_at - id_text.size() - 2) + R"(,"id":)" +
+         std::to_string(id) + "}\n";
+}
+
+// Guards against a request without an answer: its line is rejected before its id is received, and the
+// response names no request.
+TEST(Front, RequestRejectedBeforeItsIdIsReceivedIsNamedOnceItIs) {
+  for (const bool has_open_request : {true, false}) {
+    for (const bool is_too_long : {true, false}) {
+      TestFront test(kMaxClients);
+      Client client(test.front.address());
+      std::size_t requests = 0;
+      if (has_open_request) {
+        client.socket.send(request_line(1));
+        ASSERT_TRUE(test.wait_for_requests(++requests));
+      }
+      const auto line = request_line_with_last_id(2, is_too_long ? 2 * kLongPart : kLongPart);
+      const auto first_part = line.size() - 10'000;
+      ASSERT_TRUE(test.send(client, line.substr(0, first_part)));
+      std::vector<Client> others;
+      if (is_too_long) {
+        ASSERT_TRUE(test.run_until([&] { return test.front.rejected_lines() == 1; }));
+      } else {
+        others = reject_line_to_make_room(test, first_part);
+      }
+      EXPECT_FALSE(client.socket.has_unread_bytes());
+      EXPECT_EQ(test.front.receives_request(), !is_too_long || !others.empty());
+      ASSERT_TRUE(test.send(client, line.substr(first_part) + request_line(3)));
+      const auto response = test.read_response(client);
+      EXPECT_EQ(response["id"], 2) << has_open_request << is_too_long;
+      EXPECT_EQ(response["error"]["code"], is_too_long ? -32600 : -32066);
+      // Later requests are read, and there is no second response.
+      ASSERT_TRUE(test.wait_for_requests(requests + 1));
+      test.answer(requests + 1);
+      EXPECT_EQ(test.read_response(client)["id"], 3);
+    }
+  }
+}
+
+// Guards against a shutdown that cuts off a rejected line before its id has been received.
+TEST(Front, WaitsForTheIdOfARejectedLineBeforeAShutdown) {
+  TestFront test(kMaxClients);
+  auto client = client_with_open_request(test);
+  const auto line = request_line_with_last_id(2, kLongPart);
+  ASSERT_TRUE(test.send(client, line.substr(0, kLongPart)));
+  reject_line_to_make_room(test, kLongPart);
+  ASSERT_TRUE(test.wait_for_partial_bytes(0));  // the others have gone
+  EXPECT_TRUE(test.front.receives_request());
+  ASSERT_TRUE(test.send(client, line.substr(kLongPart)));
+  EXPECT_EQ(test.read_response(client)["id"], 2);
+  EXPECT_FALSE(test.front.receives_request());
+}
+
+// Guards against bad clients that are told nothing because the id that a response waits for never comes.
+TEST(Front, RejectedLinesWithoutAnIdAreAnsweredInTime) {
+  for (const bool goes_on_sending : {true, false}) {
+    TestFront test;
+    Client client(test.front.address());
+    ASSERT_TRUE(test.send(client, "{\"data\":\"" + std::string(2 * kLongPart, 'A')));
+    ASSERT_TRUE(test.run_until([&] { return test.front.rejected_lines() == 1; }));
+    test.advance(900ms);
+    EXPECT_FALSE(client.socket.has_unread_bytes());
+    if (goes_on_sending) {
+      ASSERT_TRUE(test.send(client, std::string(kLongPart, 'A')));
+    }
+    test.advance(200ms);
+    const auto response = test.read_response(client);
+    EXPECT_TRUE(response["id"].is_null());
+    EXPECT_EQ(response["error"]["code"], -32600);
+    EXPECT_FALSE(client.socket.read_more());  // half-closed by the front
+  }
+}
+
+// The same for a line that was rejected to make room, whose client then stops.
+TEST(Front, SilentClientWhoseLineWasRejectedToMakeRoomGetsAnError) {
+  TestFront test(kMaxClients);
+  Client client(test.front.address());
+  const auto part = "{\"data\":\"" + std::string(kLongPart, 'A');
+  ASSERT_TRUE(test.send(client, part));
+  const auto others = reject_line_to_make_room(test, part.size());
+  test.advance(2s);
+  const auto response = test.read_response(client);
+  EXPECT_TRUE(response["id"].is_null());
+  EXPECT_EQ(response["error"]["code"], -32066);
+  EXPECT_FALSE(client.socket.read_more());
+}
+
+// Guards against a line that ends without an id and gets no response.
+TEST(Front, RejectedLineThatEndsWithoutAnIdIsAnsweredAtItsEnd) {
+  TestFront test;
+  auto client = client_with_open_request(test);
+  ASSERT_TRUE(
+      test.send(client, "{\"data\":\"" + std::string(2 * kLongPart, 'A') + "\"}\n" + request_line(2)));
+  EXPECT_TRUE(test.read_response(client)["id"].is_null());
+  EXPECT_TRUE(test.wait_for_requests(2));
+}
+
 // Guards against whole requests that are dropped because an earlier line was too long.
 TEST(Front, RequestsBehindATooLongLineAreAnswered) {
   TestFront test;
