Wait for requests that are readable but unread before a shutdown goes on

A planned restart ends the connections once nothing is pending. Since reads are bounded, a request may wait in the read queue at that moment: found on reading the change again, not seen to happen. Such streams count as pending input now, as part of a request that has been read does. The tests on shutdowns pass; the window is too short to be forced by one.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -100,7 +100,7 @@
   core::Tick tick;
   tick.output_pending =
       platform_front_->has_unsent_output() || (mysql_front_ && mysql_front_->has_unsent_output());
-  tick.input_pending = platform_front_->receives_request();
+  tick.input_pending = platform_front_->receives_request() || !read_queue_.empty(net::ReadPriority::prompt);
   return tick;
 }
 
