Take no request to have been received before the poll that would have shown it

Found on reading the change again. Unless bytes were left unread, none can have come before the previous poll, so that is the bound.

--- a/src/net/read_queue.cpp
+++ b/src/net/read_queue.cpp
@@ -20,8 +20,10 @@
 void ReadQueue::add(Stream& stream, ReadPriority priority) {
   auto& state = streams_[&stream];
   if (state.position) return;
+  // The loop would have reported earlier bytes earlier.
+  const auto earliest = std::max(state.last_arrival, state.drained ? previous_poll_ : core::Time::zero());
   Arrival arrival;
-  arrival.end = std::max(state.last_arrival, last_poll_ - stream.time_since_data());
+  arrival.end = std::max(earliest, last_poll_ - stream.time_since_data());
   arrival.begin = std::max(state.last_arrival, std::min(previous_poll_, arrival.end));
   state.last_arrival = arrival.end;
   state.priority = priority;
@@ -45,7 +47,9 @@
   const auto next = line.begin()->second;
   line.erase(line.begin());
   streams_.at(next.stream).position.reset();
-  next.stream->read_input();
+  const bool drained = next.stream->read_input();
+  // It may have been closed, and so forgotten.
+  if (const auto found = streams_.find(next.stream); found != streams_.end()) found->second.drained = drained;
   return next.arrival;
 }
 
--- a/src/net/read_queue.hpp
+++ b/src/net/read_queue.hpp
@@ -58,6 +58,7 @@
     ReadPriority priority = ReadPriority::prompt;
     std::optional<Position> position;  // none: it doesn't wait
     core::Time last_arrival{};
+    bool drained = true;  // nothing was left unread when it was read last
   };
 
   [[nodiscard]] Line& waiting(ReadPriority priority) { return lines_[static_cast<std::size_t>(priority)]; }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -149,15 +149,16 @@
   read_queue_->add(*this, read_priority_);
 }
 
-void Stream::read_input() {
+bool Stream::read_input() {
   const auto alive = alive_;
   std::size_t total = 0;
   while (*alive && reads() && total < max_read_bytes_) {
     const auto wanted = std::min(kReadBufferBytes, max_read_bytes_ - total);
     const auto received = read(wanted);
-    if (received < wanted) return;
+    if (received < wanted) return true;
     total += received;
   }
+  return false;
 }
 
 std::size_t Stream::read(std::size_t max_bytes) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -55,7 +55,8 @@
   // Has it read in its turn, without waiting until the loop reports that it is readable.
   void queue_for_reading();
   // Reads now that it is this stream's turn in the read queue; does nothing if it is paused or closed.
-  void read_input();
+  // Returns whether nothing is left to read.
+  bool read_input();
   // Closes the sending side once the output buffer is empty. Reading goes on: closing a socket with unread
   // input would reset the connection, and the peer would lose what it has not read yet.
   void shut_down_write();
