--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -235,8 +235,8 @@
     advance_time();
   } else {
     read_clients(net::ReadPriority::prompt, kPromptReadTime);
-    read_clients(net::ReadPriority::bulk, kBulkReadTime);
   }
+  read_clients(net::ReadPriority::bulk, kBulkReadTime);
   do {
     process_events();
     engine_driver_->process_pending();
