--- a/src/net/read_queue.cpp
+++ b/src/net/read_queue.cpp
@@ -6,8 +6,8 @@
 
 namespace bellstair::net {
 namespace {
-constexpr std::int64_t kMaxReportsPerPoll = std::int64_t{1}
-                                            << 24;  // more than a process may have descriptors
+// More than a process may have descriptors.
+constexpr std::int64_t kMaxReportsPerPoll = std::int64_t{1} << 24;
 }  // namespace
 
 void ReadQueue::on_poll(core::Time previous, core::Time now) {
