Compare the authentication plugin by its name in the MySQL test client

The constant has one copy in each translation unit, and the linker keeps the constructor of the first one; since the sources are listed in alphabetical order, that is no longer the one of the test. The program under test was right to deny the login. The names are compared now; the check is the same.

--- a/tests/net/mysql_client.hpp
+++ b/tests/net/mysql_client.hpp
@@ -47,7 +47,7 @@
                        const std::string& password = "secret", const char* plugin = my::kCachingSha2)
       : socket(Socket::connect_to(address)), wire(socket) {
     const auto greeting = my::read_greeting(wire.receive());
-    const auto auth_response = plugin == my::kNativePassword
+    const auto auth_response = std::string_view(plugin) == my::kNativePassword
                                    ? my::native_auth_response(password, greeting.nonce)
                                    : my::sha2_auth_response(password, greeting.nonce);
     wire.send(my::write_login({kCapabilities, user, auth_response, plugin, {}}));
