Read long first requests before the input of clients that send no use

Callers saw: requests of one key ran in the wrong order if the first one was long and came on a new connection while bad clients sent at full speed; and a first request that waited unread for 2 s was answered 'no whole request came'.

Cause: more than 4 KB before a first request went into the line of the bad clients. The silence of a client was measured by what had been read of it.

Flood.RequestsOfOthersAreServed failed beside other tests with that error, once its line was in the log.

A turn goes on to the end of the input while a request of the connection is open, since its cancellation or a close may follow. What was left unread may be as old as what was read: deadlines begin with that. A client with unread input is not silent.

Tests seen to fail on: Front.LargeFirstRequestIsReadBeforeInputThatCanWait (in place of one that demanded the opposite: that such a request waits with the input that can wait) and Flood.LongRequestOnANewConnectionRunsBeforeALaterOneOfItsKey. Seen to fail without its line of the change: Front.ClientWhoseInputHasNotBeenReadIsNotSilent.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -23,7 +23,7 @@
 // read.
 constexpr core::Time kMaxCatchUpTime = 100ms;
 // In one iteration of the loop, time for reading and parsing what clients have sent, by its priority.
-constexpr core::Time kPromptReadTime = 10ms, kBulkReadTime = 5ms;
+constexpr core::Time kPromptReadTime = 10ms, kNormalReadTime = 5ms, kBulkReadTime = 5ms;
 // No more is read in one iteration once the requests that it has brought have so many bytes: each copy of
 // them counts towards the memory limit.
 constexpr std::size_t kMaxQueuedRequestBytes = std::size_t{2} << 20;
@@ -236,6 +236,7 @@
   } else {
     read_clients(net::ReadPriority::prompt, kPromptReadTime);
   }
+  read_clients(net::ReadPriority::normal, kNormalReadTime);
   read_clients(net::ReadPriority::bulk, kBulkReadTime);
   do {
     process_events();
--- a/src/app/client_events.cpp
+++ b/src/app/client_events.cpp
@@ -29,26 +29,40 @@
   }
 }
 
-// Of each batch, the system tells when its last bytes were received, and which of two batches began earlier.
-// A batch is taken to begin as early as that allows, and its events to be evenly spread from there to its
-// end. This is exact for batches of one event, and so whenever a connection brings at most one request
-// between two polls.
+// Of each connection, the system tells when its last bytes were received, and which of two connections began
+// to send earlier. The batches of a connection are taken to begin as early as that allows, and their events
+// to be evenly spread from there to the end. This is exact for a single event, and so whenever a connection
+// brings at most one request between two polls.
 void ClientEvents::estimate_arrivals() {
-  std::ranges::sort(batches_, {}, [](const Batch& batch) { return batch.arrival.report; });
+  const auto report = [](const Batch& batch) { return batch.arrival.report; };
+  std::ranges::stable_sort(batches_, {}, report);
   core::Time earliest{};
-  for (const auto& [first, count, arrival] : batches_) {
-    const auto begin = count == 1 ? arrival.end : std::min(arrival.end, std::max(arrival.begin, earliest));
-    earliest = std::max(earliest, begin);
-    const auto steps = std::max<core::Time::rep>(1, static_cast<core::Time::rep>(count) - 1);
-    for (std::size_t i = 0; i < count; ++i) {
-      auto& entry = entries_[first + i];
-      entry.arrival = begin + (arrival.end - begin) * static_cast<core::Time::rep>(i) / steps;
-      entry.report = arrival.report;
-    }
+  for (auto first = batches_.begin(); first != batches_.end();) {
+    const auto end = std::ranges::find_if(first, batches_.end(), [first, &report](const Batch& batch) {
+      return report(batch) != report(*first);
+    });
+    earliest = spread({first, end}, earliest);
+    first = end;
   }
   batches_.clear();
 }
 
+core::Time ClientEvents::spread(std::span<const Batch> batches, core::Time earliest) {
+  using Count = core::Time::rep;
+  Count count = 0;
+  for (const auto& batch : batches) count += static_cast<Count>(batch.count);
+  const auto end = batches.back().arrival.end;
+  const auto begin = count == 1 ? end : std::min(end, std::max(batches.front().arrival.begin, earliest));
+  Count index = 0;
+  for (const auto& batch : batches) {
+    for (auto i = batch.first; i < batch.first + batch.count; ++i) {
+      entries_[i].arrival = begin + (end - begin) * index++ / std::max<Count>(1, count - 1);
+      entries_[i].report = batch.arrival.report;
+    }
+  }
+  return std::max(earliest, begin);
+}
+
 void ClientEvents::move_to(std::deque<core::Event>& events) {
   estimate_arrivals();
   std::ranges::stable_sort(entries_, {},
--- a/src/app/client_events.hpp
+++ b/src/app/client_events.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <span>
 #include <vector>
 
 #include "core/events.hpp"
@@ -46,6 +47,9 @@
 
   // Estimates the arrival of each entry of the batches.
   void estimate_arrivals();
+  // Spreads the entries of one connection's batches over the span of their arrival, from `earliest` on.
+  // Returns `earliest` for the connection that the system reports next.
+  core::Time spread(std::span<const Batch> batches, core::Time earliest);
 
   std::vector<Entry> entries_;
   std::vector<Batch> batches_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -28,11 +28,11 @@
   if (read_queue_ != nullptr) read_queue_->remove(*this);
 }
 
-bool Stream::reads() const { return fd_ && !connecting_ && !paused_ && !input_ended_ && !failed_; }
+bool Stream::wants_input() const { return fd_ && !connecting_ && !paused_ && !input_ended_ && !failed_; }
 
 void Stream::update_watcher() {
   int events = 0;
-  if (reads()) events |= ev::READ;
+  if (wants_input()) events |= ev::READ;
   if (connecting_ || unsent_bytes() > 0 || failed_) events |= ev::WRITE;
   if (events == 0) {
     io_.stop();
@@ -136,26 +136,26 @@
   if ((events & ev::READ) != 0) queue_for_reading();
 }
 
-void Stream::set_reading(ReadPriority priority, std::size_t max_bytes) {
-  read_priority_ = priority;
-  max_read_bytes_ = max_bytes;
-}
-
 void Stream::queue_for_reading() {
   if (read_queue_ == nullptr) {
     read(kReadBufferBytes);
     return;
   }
-  read_queue_->add(*this, read_priority_);
+  read_queue_->add(*this);
+}
+
+void Stream::set_reading(ReadPriority priority, std::size_t max_turn_bytes) {
+  read_priority_ = priority;
+  max_turn_bytes_ = max_turn_bytes;
 }
 
 bool Stream::read_input() {
   const auto alive = alive_;
   std::size_t total = 0;
-  while (*alive && reads() && total < max_read_bytes_) {
-    const auto wanted = std::min(kReadBufferBytes, max_read_bytes_ - total);
-    const auto received = read(wanted);
-    if (received < wanted) return true;
+  // To its end, since the peer may have closed the connection behind what it has sent.
+  while (*alive && wants_input() && total < max_turn_bytes_) {
+    const auto received = read(std::min(kReadTurnBytes, max_turn_bytes_ - total));
+    if (received == 0) return true;
     total += received;
   }
   return false;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -19,6 +19,8 @@
  public:
   // The most that is read by one system call.
   static constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
+  // The most that is read in one turn of the read queue, unless set_reading() tells otherwise.
+  static constexpr std::size_t kReadTurnBytes = std::size_t{16} * 1024;
 
   // Callbacks, all invoked from the event loop. Any of them may be empty.
   struct Handlers {
@@ -49,14 +51,17 @@
   void abort();
   // Stops (true) or resumes (false) reading.
   void pause_reading(bool paused);
-  // Sets the priority in the read queue, and how many bytes are read at most before other streams get a turn.
-  // From now on; it may be called from within a handler.
-  void set_reading(ReadPriority priority, std::size_t max_bytes);
+  // Sets the priority with which it waits in the read queue from its next turn on, and how many bytes are
+  // read at most in a turn, also in the current one. May be called from within a handler.
+  void set_reading(ReadPriority priority, std::size_t max_turn_bytes = kReadTurnBytes);
+  [[nodiscard]] ReadPriority read_priority() const { return read_priority_; }
   // Has it read in its turn, without waiting until the loop reports that it is readable.
   void queue_for_reading();
-  // Reads now that it is this stream's turn in the read queue; does nothing if it is paused or closed.
-  // Returns whether nothing is left to read.
+  // Reads now that it is this stream's turn in the read queue; does nothing unless wants_input(). Returns
+  // whether nothing is left to read.
   bool read_input();
+  // Whether it waits for input: it is open, not paused, and the peer has not closed its sending side.
+  [[nodiscard]] bool wants_input() const;
   // Closes the sending side once the output buffer is empty. Reading goes on: closing a socket with unread
   // input would reset the connection, and the peer would lose what it has not read yet.
   void shut_down_write();
@@ -76,8 +81,6 @@
 
  private:
   void on_io(ev::io& watcher, int events);
-  // Whether it waits for input.
-  [[nodiscard]] bool reads() const;
   // Reads once, at most so many bytes. Returns how many it has read.
   std::size_t read(std::size_t max_bytes);
   void flush();
@@ -90,7 +93,7 @@
   std::size_t max_unsent_bytes_;
   ReadQueue* read_queue_;
   ReadPriority read_priority_ = ReadPriority::prompt;
-  std::size_t max_read_bytes_ = kReadBufferBytes;
+  std::size_t max_turn_bytes_ = kReadTurnBytes;
   std::string output_;
   std::size_t output_offset_ = 0, sent_bytes_ = 0;
   Handlers handlers_;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -10,6 +10,8 @@
 // than that for the rest of a request. kLingerTimeout is the time to read the last output, while further
 // input is read and dropped.
 constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
+// How soon a client is looked at again that is silent as far as its input has been read, but has sent more.
+constexpr core::Time kUnreadInputDelay = 100ms;
 // A line that is too long is answered without its id if that has not been received this much later.
 constexpr core::Time kIdTimeout = 1s;
 }  // namespace
@@ -57,15 +59,19 @@
   connection.rank = rank;
 }
 
-// The input of clients that have sent useless input, or much before their first request, is read after that
-// of all others: it may come without end, and to parse it takes time that the others need.
+// Clients that have sent useless input are read after all others: it may come without end, and to parse it
+// takes time that the others need. Those that have not sent a request yet may turn out to be such clients,
+// above all if their first line is long. Behind a request, its cancellation may follow, and is read in the
+// same turn.
 void Front::update_reading(Connection& connection) {
-  const bool line_is_long = connection.skips_line || connection.partial_line.size() >= kFirstReadBytes;
-  const bool sends_much = !connection.request_received && line_is_long;
-  if (connection.sends_useless_input || connection.half_closed || sends_much)
-    return connection.stream.set_reading(net::ReadPriority::bulk, kBulkReadBytes);
-  connection.stream.set_reading(net::ReadPriority::prompt,
-                                connection.request_received ? kMaxLineBytes : kFirstReadBytes);
+  using net::ReadPriority;
+  const bool useless = connection.sends_useless_input || connection.half_closed;
+  const auto priority = useless                       ? ReadPriority::bulk
+                        : connection.request_received ? ReadPriority::prompt
+                        : receives_line(connection)   ? ReadPriority::normal
+                                                      : ReadPriority::deferred;
+  connection.stream.set_reading(
+      priority, connection.open_requests.empty() ? net::Stream::kReadTurnBytes : kMaxLineBytes);
 }
 
 void Front::accept(net::Fd fd) {
@@ -131,6 +137,7 @@
     if (connection.line_received && !receives_line(connection)) return;
     if (now_ < connection.timeout_start + kSilenceTimeout)
       return arm_timer(connection, connection.timeout_start + kSilenceTimeout);
+    if (read_queue_.waits(connection.stream)) return arm_timer(connection, now_ + kUnreadInputDelay);
     if (!connection.rejection) reject_line(connection, kRpcInvalidRequest, "no whole request came");
     if (connection.rejection) send_rejection(connection);
   });
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -60,9 +60,6 @@
   static constexpr std::size_t kMaxUnsentBytes = std::size_t{4} << 20;
   // Of the incomplete lines of all clients together. Beyond it the line that uses most of it is rejected.
   static constexpr std::size_t kMaxPartialBytes = std::size_t{4} << 20;
-  // Read at once from a connection that has sent no valid request yet, and from one whose input can wait.
-  static constexpr std::size_t kFirstReadBytes = std::size_t{4} * 1024;
-  static constexpr std::size_t kBulkReadBytes = std::size_t{16} * 1024;
   // On one connection.
   static constexpr unsigned kMaxProtocolErrors = 64;
   static constexpr std::size_t kMaxOpenRequests = 32;
--- a/tests/client_events_test.cpp
+++ b/tests/client_events_test.cpp
@@ -33,9 +33,9 @@
 TEST(ClientEvents, AreSortedByTheirArrival) {
   ClientEvents events;
   events.add(request(1), 1000ms);
-  events.set_arrival(0, {900ms, 980ms, 0});
+  events.set_arrival(0, {900ms, 980ms, 1});
   events.add(request(2), 1001ms);
-  events.set_arrival(1, {900ms, 915ms, 0});
+  events.set_arrival(1, {900ms, 915ms, 2});
   EXPECT_EQ(take_clients(events), (std::vector<int>{2, 1}));
   EXPECT_TRUE(events.empty());
 }
@@ -61,6 +61,18 @@
   EXPECT_EQ(take_clients(events), (std::vector<int>{1, 2, 3}));
 }
 
+// The same where the connection was read in several turns.
+TEST(ClientEvents, TurnsOfOneConnectionAreSpreadTogether) {
+  ClientEvents events;
+  for (const core::ClientHandle client : {1, 3}) events.add(request(client), 1000ms);
+  events.set_arrival(0, {600ms, 900ms, 1});
+  events.add(request(2), 1000ms);
+  events.set_arrival(2, {600ms, 650ms, 2});
+  for (const core::ClientHandle client : {4, 5}) events.add(request(client), 1000ms);
+  events.set_arrival(3, {600ms, 900ms, 1});
+  EXPECT_EQ(take_clients(events), (std::vector<int>{1, 2, 3, 4, 5}));
+}
+
 // Guards against an order that depends on the one in which events were read if all arrive at one time, as
 // where the system doesn't tell when.
 TEST(ClientEvents, AreInTheOrderOfTheSystemsReportsIfTheirArrivalIsTheSame) {
@@ -77,9 +89,9 @@
   ClientEvents events;
   events.add(request(1), 1000ms);
   events.add(core::RequestCancelled{1}, 1000ms);
-  events.set_arrival(0, {900ms, 900ms, 0});
+  events.set_arrival(0, {900ms, 900ms, 1});
   events.add(request(2), 1000ms);
-  events.set_arrival(2, {900ms, 900ms, 0});
+  events.set_arrival(2, {900ms, 900ms, 2});
   events.add(core::RequestCancelled{2}, 1001ms);
   EXPECT_EQ(take_clients(events), (std::vector<int>{1, -1, 2, -2}));
 }
--- a/tests/faults/flood_test.cpp
+++ b/tests/faults/flood_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 const std::string kStatement = "SELECT a FROM sales_17.orders";
-constexpr int kFloodingClients = 60;
+constexpr int kFloodingClients = 60, kFewFloodingClients = 20;
 
 HttpEngine::Handler serving() {
   return [](const HttpRequest&) { return rows_response("x\ty\tz\n"); };
@@ -28,6 +28,32 @@
   EXPECT_EQ(result_body(fresh.read_response()), "x\ty\tz\n");
 }
 
+// Guards against requests of one key that run in the wrong order because the first one, which is long and
+// comes on a new connection, is read after the input of the flood.
+TEST(Flood, LongRequestOnANewConnectionRunsBeforeALaterOneOfItsKey) {
+  constexpr auto kNewConnectionGap =
+      260ms;  // clients wait at least 250 ms behind the one on a new connection
+  HttpEngine engine(serving());
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client known(broker.address);
+  known.send_request(1, "lookup", kStatement);
+  EXPECT_EQ(result_body(known.read_response()), "x\ty\tz\n");
+  Flood flood(broker.address, kFewFloodingClients);
+  flood.wait_until_answered();
+  const json params{{"item", "7f3a9c21e0b4d655"}};
+  const auto long_statement = "INSERT INTO sales_17.orders" + std::string(30'000, ' ');
+  Client fresh(broker.address);
+  fresh.send_request(1, "load", long_statement, {{"txn", ticket(100)}, {"item", params["item"]}});
+  std::this_thread::sleep_for(kNewConnectionGap);
+  known.send_request(2, "load", kStatement, params);
+  const auto is_load = [](const HttpRequest& request) {
+    return request.method == "POST" && request.headers.at("X-Queue") == "load";
+  };
+  EXPECT_EQ(engine.requests.wait_for(is_load).headers.at("X-Ticket"), ticket(100));
+  EXPECT_EQ(result_body(fresh.read_response()), "x\ty\tz\n");
+  EXPECT_EQ(result_body(known.read_response()), "x\ty\tz\n");
+}
+
 // Guards against deadlines that pass unnoticed during a flood.
 TEST(Flood, RequestTimesOutWhileItsEngineIsSilent) {
   std::promise<void> done;
--- a/tests/net/front_harness.hpp
+++ b/tests/net/front_harness.hpp
@@ -26,7 +26,7 @@
     const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
     while (!condition() && std::chrono::steady_clock::now() < deadline) {
       loop.run(ev::ONCE);
-      read_clients(net::ReadPriority::prompt);
+      read_urgent_input();
       read_clients(net::ReadPriority::bulk);
       front.release_closed();
     }
@@ -36,6 +36,20 @@
   void read_clients(net::ReadPriority priority) {
     while (!read_queue.empty(priority)) read_queue.read_next(priority);
   }
+  // Reads all input but what can wait.
+  void read_urgent_input() {
+    read_clients(net::ReadPriority::prompt);
+    read_clients(net::ReadPriority::normal);
+  }
+  // Runs the loop until the condition holds, and reads no input that can wait.
+  bool run_reading_urgent_input_until(const std::function<bool()>& condition) {
+    const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
+    while (!condition() && std::chrono::steady_clock::now() < deadline) {
+      loop.run(ev::ONCE);
+      read_urgent_input();
+    }
+    return condition();
+  }
   // Runs the loop, without reading, until so many clients of this priority are readable.
   bool run_until_readable(net::ReadPriority priority, std::size_t count) {
     const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -415,20 +415,54 @@
   EXPECT_TRUE(test.read_response(useless).contains("error"));
 }
 
-// Guards against a large first request that is never read because it counts as input that can wait, and
-// against later requests that wait although their client is known by then.
-TEST(Front, LargeFirstRequestIsReadInPartsAndLaterOnesAtOnce) {
+// Guards against a large first request that is read after the useless input of others, and so after later
+// requests of its key, and against later requests that wait although their client is known by then.
+TEST(Front, LargeFirstRequestIsReadBeforeInputThatCanWait) {
   TestFront test;
+  Client useless(test.front.address()), client(test.front.address());
+  useless.socket.send("{}\n");
+  EXPECT_TRUE(test.read_response(useless).contains("error"));
+  useless.socket.send("{}\n");
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::bulk, 1));
+  for (const std::size_t requests : {1U, 2U}) {
+    client.socket.send(request_line(static_cast<int>(requests), 40'000));
+    ASSERT_TRUE(test.run_reading_urgent_input_until(
+        [&] { return test.count_events<core::RequestArrived>() == requests; }));
+  }
+  EXPECT_FALSE(useless.socket.has_unread_bytes());
+}
+
+// Guards against an error for a client that has sent its request in time, when others keep it from being
+// read.
+TEST(Front, ClientWhoseInputHasNotBeenReadIsNotSilent) {
+  TestFront test;
+  Client silent(test.front.address());
+  silent.socket.send(request_line(1).substr(0, 20));
+  ASSERT_TRUE(test.wait_for_partial_bytes(20));
   Client client(test.front.address());
-  client.socket.send(request_line(1, 40'000));
+  client.socket.send(request_line(1));
   ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 1));
-  test.read_clients(net::ReadPriority::prompt);
-  EXPECT_EQ(test.count_events<core::RequestArrived>(), 0U);
-  ASSERT_TRUE(test.wait_for_requests(1));
-  client.socket.send(request_line(2, 40'000));
+  test.advance(2s);
+  EXPECT_EQ(test.read_response(silent)["error"]["message"], "no whole request came");
+  EXPECT_TRUE(test.wait_for_requests(1));
+  EXPECT_FALSE(client.socket.has_unread_bytes());
+}
+
+// Guards against a request that is begun although its client has cancelled it long before, in input that is
+// read in a later turn.
+TEST(Front, CancellationIsReadInTheSameTurnAsItsRequest) {
+  TestFront test;
+  Client client(test.front.address());
+  std::string lines;
+  for (int id = 1; id <= 20; ++id) lines += request_line(id, 2'000);
+  for (int id = 1; id <= 20; ++id)
+    lines += R"({"jsonrpc":"2.0","method":"cancel","params":{"id":)" + std::to_string(id) + "}}\n";
+  ASSERT_GT(lines.size(), 2 * net::Stream::kReadTurnBytes);
+  client.socket.send(lines);
   ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 1));
-  test.read_clients(net::ReadPriority::prompt);
-  EXPECT_TRUE(test.wait_for_requests(2));
+  test.read_queue.read_next(net::ReadPriority::prompt);
+  EXPECT_EQ(test.count_events<core::RequestArrived>(), 20U);
+  EXPECT_EQ(test.count_events<core::RequestCancelled>(), 20U);
 }
 
 }  // namespace
