Close no connection with unread input to make room, and bound the time for accepting

Callers saw: while bad clients sent much and went, requests on new connections got no answer: their connections were closed before they were read.

Cause: connections whose peers have gone wait to be read, so the limit of connections is reached, and the oldest one without a request was closed to make room, whether or not it had input waiting. Since reads are bounded that wait is long enough to matter. Besides, one iteration accepted up to 64 connections, each of which may cost the close of another with megabytes unread.

Change: connections that this side has ended, or whose clients have sent something useless, are closed first. One with unread input is never closed; if there is no other, accepting pauses. Accepting ends after 5 ms in each iteration.

The bound on the time for accepting has no test of its own.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -12,6 +12,8 @@
 namespace {
 // How long a listener that cannot accept waits before it tries again.
 constexpr double kAcceptPauseSeconds = 0.05;
+// In one iteration of the loop, time for accepting connections.
+constexpr core::Time kAcceptTime = std::chrono::milliseconds(5);
 }  // namespace
 
 Stream::Stream(ev::loop_ref loop, Fd fd, bool connecting, std::size_t max_unsent_bytes, ReadQueue* read_queue)
@@ -200,8 +202,13 @@
   if (unsent_bytes() == 0 && handlers_.drained) handlers_.drained();
 }
 
-Listener::Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted)
-    : io_(loop), resume_(loop), fd_(std::move(fd)), accepted_(std::move(accepted)) {
+Listener::Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted,
+                   std::function<bool()> can_accept)
+    : io_(loop),
+      resume_(loop),
+      fd_(std::move(fd)),
+      accepted_(std::move(accepted)),
+      can_accept_(std::move(can_accept)) {
   open_reserve();
   resume_.set<Listener, &Listener::on_resume>(this);
   io_.set<Listener, &Listener::on_io>(this);
@@ -222,7 +229,9 @@
 
 void Listener::on_io(ev::io&, int events) {
   if ((events & ev::ERROR) != 0) return pause();  // libev could not watch the descriptor
-  for (int i = 0; i < 64; ++i) {
+  const auto end = core::monotonic_now() + kAcceptTime;
+  do {
+    if (!can_accept_()) return pause();
     Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd && out_of_descriptors(errno) && reserve_) {
       reserve_.reset();
@@ -236,7 +245,7 @@
     const int on = 1;
     ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     accepted_(std::move(fd));
-  }
+  } while (core::monotonic_now() < end);
 }
 
 }  // namespace bellstair::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -109,7 +109,10 @@
 class Listener {
  public:
   // `accepted` is called with each new connection, which is non-blocking and has TCP_NODELAY set.
-  Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted);
+  // `can_accept`: whether the next connection can be accepted now; if not, that is tried again after a pause.
+  Listener(
+      ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted,
+      std::function<bool()> can_accept = [] { return true; });
 
  private:
   void on_io(ev::io& watcher, int events);
@@ -120,6 +123,7 @@
   ev::timer resume_;
   Fd fd_, reserve_;
   std::function<void(Fd)> accepted_;
+  std::function<bool()> can_accept_;
 };
 
 }  // namespace bellstair::net
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -27,35 +27,55 @@
       ready_(std::move(ready)),
       emit_(std::move(emit)),
       address_(net::local_address(listening.get())),
-      listener_(std::in_place, loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
+      listener_(
+          std::in_place, loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); },
+          [this] { return can_accept(); }) {}
+
+// A connection without an open request may be closed at any time. But input that has not been read may be a
+// request, and then shows soon which connections can be closed.
+Front::Connection* Front::connection_to_evict() const {
+  for (const auto rank : {EvictionRank::ended, EvictionRank::useless})
+    if (!with_rank(rank).empty()) return with_rank(rank).front();
+  const auto is_unread = [this](const Connection* connection) {
+    return read_queue_.waits(connection->stream);
+  };
+  const auto is_silent = [&](const Connection* connection) {
+    return !receives_line(*connection) && !is_unread(connection);
+  };
+  const auto& unidentified = with_rank(EvictionRank::unidentified);
+  if (const auto found = std::ranges::find_if(unidentified, is_silent); found != unidentified.end())
+    return *found;
+  if (const auto found = std::ranges::find_if_not(unidentified, is_unread); found != unidentified.end())
+    return *found;
+  const auto& idle = with_rank(EvictionRank::idle);
+  if (idle.empty() || !unidentified.empty() || std::ranges::any_of(idle, is_unread)) return nullptr;
+  const auto found = std::ranges::find_if(idle, is_silent);
+  return found != idle.end() ? *found : idle.front();
+}
+
+bool Front::can_accept() const {
+  const bool all_are_busy =
+      with_rank(EvictionRank::unidentified).empty() && with_rank(EvictionRank::idle).empty();
+  return connections_.size() < max_connections_ || all_are_busy || connection_to_evict() != nullptr;
+}
 
-// A connection without an open request may be closed at any time: those that never sent a valid request
-// first, and last those on which a request is being received.
 bool Front::make_room() {
   if (connections_.size() < max_connections_) return true;
-  auto& unidentified = by_rank_[static_cast<std::size_t>(EvictionRank::unidentified)];
-  auto& idle = by_rank_[static_cast<std::size_t>(EvictionRank::idle)];
-  if (unidentified.empty() && idle.empty()) return false;
-  if (!unidentified.empty()) {
-    close(*unidentified.front());
-    return true;
-  }
-  const auto receives_nothing = [](const Connection* connection) { return !receives_line(*connection); };
-  const auto found = std::ranges::find_if(idle, receives_nothing);
-  close(found != idle.end() ? **found : *idle.front());
-  return true;
+  auto* const evicted = connection_to_evict();
+  if (evicted != nullptr) close(*evicted);
+  return evicted != nullptr;
 }
 
 void Front::update_rank(Connection& connection) {
-  const bool busy =
-      !connection.half_closed && (!connection.open_requests.empty() || connection.stream.unsent_bytes() > 0);
-  const auto rank = busy                                                     ? EvictionRank::busy
-                    : connection.request_received && !connection.half_closed ? EvictionRank::idle
-                                                                             : EvictionRank::unidentified;
+  const bool busy = !connection.open_requests.empty() || connection.stream.unsent_bytes() > 0;
+  const auto rank = connection.half_closed           ? EvictionRank::ended
+                    : busy                           ? EvictionRank::busy
+                    : connection.sends_useless_input ? EvictionRank::useless
+                    : connection.request_received    ? EvictionRank::idle
+                                                     : EvictionRank::unidentified;
   if (rank == connection.rank) return;
-  auto& from = by_rank_[static_cast<std::size_t>(connection.rank)];
-  auto& to = by_rank_[static_cast<std::size_t>(rank)];
-  to.splice(to.end(), from, connection.rank_position);
+  auto& to = with_rank(rank);
+  to.splice(to.end(), with_rank(connection.rank), connection.rank_position);
   connection.rank = rank;
 }
 
@@ -81,7 +101,7 @@
   connection.id = ++last_connection_id_;
   update_reading(connection);
   connection.timeout_start = now_;
-  auto& unidentified = by_rank_[static_cast<std::size_t>(EvictionRank::unidentified)];
+  auto& unidentified = with_rank(EvictionRank::unidentified);
   connection.rank_position = unidentified.insert(unidentified.end(), &connection);
   connections_.emplace(connection.id, std::move(created));
   arm_timer(connection, now_ + kSilenceTimeout);
@@ -153,7 +173,7 @@
   connection.stream.close();
   const auto found = connections_.find(connection.id);
   if (found == connections_.end()) return;
-  by_rank_[static_cast<std::size_t>(connection.rank)].erase(connection.rank_position);
+  with_rank(connection.rank).erase(connection.rank_position);
   closed_.push_back(std::move(found->second));
   connections_.erase(found);
 }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -64,9 +64,9 @@
   static constexpr unsigned kMaxProtocolErrors = 64;
   static constexpr std::size_t kMaxOpenRequests = 32;
 
-  // Connections are closed to make room in this order, busy ones never. unidentified: has sent no valid
-  // request, or is half-closed by this side.
-  enum class EvictionRank { unidentified, idle, busy };
+  // Connections are closed to make room in this order, busy ones never. ended: half-closed by this side.
+  // useless: has sent something that is no valid request. unidentified: has sent no request.
+  enum class EvictionRank { ended, useless, unidentified, idle, busy };
   // The response to a line that is rejected before its id has been received.
   struct Rejection {
     int code = 0;
@@ -141,6 +141,12 @@
   void update_rank(Connection& connection);
   // Decides how soon and how much at once the connection is read from now on.
   void update_reading(Connection& connection);
+  // Whether a new connection can be accepted now. If not, it can be once more input has been read.
+  [[nodiscard]] bool can_accept() const;
+  // The connection to close if there are too many; null if all have open requests or input that has not been
+  // read.
+  [[nodiscard]] Connection* connection_to_evict() const;
+  // Closes a connection if there are too many. Returns false if none can be closed.
   bool make_room();
 
   bool stopped_ = false;
@@ -156,7 +162,12 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::ClientHandle, OpenRequest> open_requests_;
   std::vector<std::unique_ptr<Connection>> closed_;
-  std::array<std::list<Connection*>, 3> by_rank_;  // by EvictionRank, the longest in that rank in front
+  using Connections = std::list<Connection*>;
+  [[nodiscard]] Connections& with_rank(EvictionRank rank) { return by_rank_[static_cast<std::size_t>(rank)]; }
+  [[nodiscard]] const Connections& with_rank(EvictionRank rank) const {
+    return by_rank_[static_cast<std::size_t>(rank)];
+  }
+  std::array<Connections, 5> by_rank_;  // by EvictionRank, the longest in that rank in front
   core::TimerWheel<std::uint64_t> timers_{std::chrono::milliseconds(5)};
   std::size_t partial_bytes_ = 0;
   std::uint64_t last_connection_id_ = 0;
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -465,5 +465,36 @@
   EXPECT_EQ(test.count_events<core::RequestCancelled>(), 20U);
 }
 
+// Guards against a request on a new connection that is closed before it is read, to make room, while there
+// are connections that can't be used any more.
+TEST(Front, EndedConnectionIsClosedToMakeRoomBeforeOneWithUnreadInput) {
+  TestFront test(2);
+  Client waiting(test.front.address()), ended(test.front.address());
+  ended.socket.send(invalid_lines());
+  ASSERT_TRUE(test.run_until([&] { return ended.socket.has_unread_bytes(); }));
+  EXPECT_TRUE(ended.socket.read_to_end());
+  waiting.socket.send(request_line(1));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 1));
+  Client late(test.front.address());
+  late.socket.send(request_line(1));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 2));
+  EXPECT_TRUE(test.wait_for_requests(2));
+}
+
+// The same where no connection can be closed: the next one is accepted once the input has been read.
+TEST(Front, ConnectionWithUnreadInputIsNotClosedToMakeRoom) {
+  TestFront test(1);
+  Client waiting(test.front.address());
+  waiting.socket.send(request_line(1));
+  ASSERT_TRUE(test.run_until_readable(net::ReadPriority::prompt, 1));
+  Client late(test.front.address());
+  late.socket.send(request_line(1));
+  for (int i = 0; i < 10; ++i) test.loop.run(ev::ONCE);
+  ASSERT_TRUE(test.wait_for_requests(1));
+  test.answer(1);
+  EXPECT_EQ(test.read_response(waiting)["id"], 1);
+  EXPECT_TRUE(test.wait_for_requests(2));
+}
+
 }  // namespace
 }  // namespace bellstair::test
