Bound the events of one iteration, and reject clients that take all requests back

Callers saw: beside bad clients that send hundreds of small requests and take them back at once, usual requests waited for 0.5 to 1 s; and those clients were told nothing, although they are owed an answer within 3 s.

Cause: what an iteration reads was bounded in time and bytes, but not in events, and each costs time when it is processed. A client may send any number of requests if it cancels them.

Change: no more is read in an iteration once 256 events are queued, but one stream of each priority has its turn. A client that cancels more requests in one piece of input than it can have open gets an error, as after too many invalid lines: its further requests are rejected, and the connection ends when nothing is open.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -27,6 +27,8 @@
 // No more is read in one iteration once the requests that it has brought have so many bytes: each copy of
 // them counts towards the memory limit.
 constexpr std::size_t kMaxQueuedRequestBytes = std::size_t{2} << 20;
+// The same for the number of events, since each of them takes time to process.
+constexpr std::size_t kMaxQueuedEvents = 256;
 // If the configuration can't be read, it is tried again at this interval for this long.
 constexpr core::Time kReloadRetryInterval = 100ms, kMaxReloadTime = 10s;
 // Jumps of the wall clock that exceed this are logged.
@@ -216,11 +218,13 @@
 
 void Broker::read_clients(net::ReadPriority priority, core::Time max_time) {
   const auto end = core::monotonic_now() + max_time;
-  while (!read_queue_.empty(priority) && client_events_.request_bytes() <= kMaxQueuedRequestBytes) {
+  while (!read_queue_.empty(priority)) {
     const auto first_event = client_events_.size();
     const auto arrival = read_queue_.read_next(priority);
     client_events_.set_arrival(first_event, arrival);
-    if (core::monotonic_now() >= end) return;
+    const bool too_many_events =
+        client_events_.size() > kMaxQueuedEvents || client_events_.request_bytes() > kMaxQueuedRequestBytes;
+    if (too_many_events || core::monotonic_now() >= end) return;
   }
 }
 
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -45,8 +45,9 @@
   void on_check(ev::check& check, int events);
   // Hands the time to all components, which fire their timers.
   void advance_time();
-  // Reads from clients, in the order in which their input was received, until none of this priority waits or
-  // so much time has passed.
+  // Reads from clients of this priority, in the order in which their input was received, until none waits, so
+  // much time has passed or as many events as should be processed together are queued. One client has its
+  // turn in any case.
   void read_clients(net::ReadPriority priority, core::Time max_time);
   void log_wall_clock_jumps();
   void on_reload(ev::timer& timer, int events);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -258,18 +258,22 @@
 
 void Front::count_protocol_error(Connection& connection) {
   connection.sends_useless_input = true;
-  if (++connection.protocol_errors == kMaxProtocolErrors) {
-    connection.stream.write(rpc_error(std::nullopt, kRpcInvalidRequest, "too many lines of no use"));
-    connection.rejects_requests = true;
-  }
+  if (++connection.protocol_errors == kMaxProtocolErrors) reject_further_requests(connection);
   end_if_unusable(connection);
 }
 
+void Front::reject_further_requests(Connection& connection) {
+  connection.sends_useless_input = true;
+  connection.stream.write(rpc_error(std::nullopt, kRpcInvalidRequest, "too many lines of no use"));
+  connection.rejects_requests = true;
+}
+
 bool Front::reads_lines(const Connection& connection) const {
   return connection.stream.open() && !connection.half_closed && !stopped_;
 }
 
 void Front::on_data(Connection& connection, std::string_view bytes) {
+  connection.cancellations = 0;
   while (reads_lines(connection)) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
@@ -361,6 +365,7 @@
     connection.open_requests.erase(found);
     open_requests_.erase(client);
     emit_(core::RequestCancelled{client});
+    if (++connection.cancellations == kMaxOpenRequests + 1) reject_further_requests(connection);
   }
   // A call with the id of an earlier request gets no response: it would be the second one for that id.
   if (own_id)
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -90,7 +90,9 @@
     std::optional<Rejection> rejection;  // pending, while skips_line
     core::Time timer_at{};               // of its earliest timer; 0: none is armed
     unsigned protocol_errors = 0;
-    core::Time timeout_start{};  // when it was accepted, last sent part of a line, or was half-closed
+    std::size_t cancellations = 0;  // of open requests, in the input that is being processed
+    core::Time line_started_at{};   // when the first part of the incomplete line was received
+    core::Time timeout_start{};     // when it was accepted, last sent part of a line, or was half-closed
     EvictionRank rank = EvictionRank::unidentified;
     std::list<Connection*>::iterator rank_position;
     std::unordered_map<std::uint64_t, core::ClientHandle> open_requests;  // by the client's request id
@@ -137,6 +139,9 @@
   void half_close(Connection& connection);
   // Counts an invalid line, whose response has been sent. Too many of them end the connection.
   void count_protocol_error(Connection& connection);
+  // Sends an error and rejects all further requests, since the client sends too many lines of no use: invalid
+  // ones, or more cancellations at once than it can have requests open.
+  void reject_further_requests(Connection& connection);
   void arm_timer(Connection& connection, core::Time at);
   void update_rank(Connection& connection);
   // Decides how soon and how much at once the connection is read from now on.
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -448,6 +448,34 @@
   EXPECT_FALSE(client.socket.has_unread_bytes());
 }
 
+// Guards against requests of others that wait while those of a client are processed which takes all of them
+// back, and against silence towards such a client.
+TEST(Front, ClientThatCancelsMoreRequestsAtOnceThanCanBeOpenGetsAnErrorAndNoMoreRequestsThrough) {
+  constexpr int kMaxOpenRequests = 32;
+  TestFront test;
+  const auto cancellation = [](int id) {
+    return R"({"jsonrpc":"2.0","method":"cancel","params":{"id":)" + std::to_string(id) + "}}\n";
+  };
+  const auto cancelled_requests = [&](int count) {
+    std::string lines;
+    for (int id = 1; id <= count; ++id) lines += request_line(id) + cancellation(id);
+    return lines;
+  };
+  Client usual(test.front.address()), flooding(test.front.address());
+  usual.socket.send(cancelled_requests(kMaxOpenRequests));
+  ASSERT_TRUE(
+      test.run_until([&] { return test.count_events<core::RequestCancelled>() == kMaxOpenRequests; }));
+  flooding.socket.send(cancelled_requests(40));
+  const auto response = test.read_response(flooding);
+  EXPECT_TRUE(response["id"].is_null());
+  EXPECT_EQ(response["error"]["code"], -32600);
+  EXPECT_FALSE(flooding.socket.read_more());  // half-closed by the front
+  EXPECT_EQ(test.count_events<core::RequestCancelled>(), 2U * kMaxOpenRequests + 1);
+  usual.socket.send(request_line(kMaxOpenRequests + 1));
+  EXPECT_TRUE(test.wait_for_requests(2 * kMaxOpenRequests + 2));
+  EXPECT_FALSE(usual.socket.has_unread_bytes());
+}
+
 // Guards against a request that is begun although its client has cancelled it long before, in input that is
 // read in a later turn.
 TEST(Front, CancellationIsReadInTheSameTurnAsItsRequest) {
