Let a shutdown wait only for requests that clients may still send

Callers saw: beside bad clients that connect again and again, a planned restart took 3.4 to 3.6 s, just below the time after which the platform kills the program.

Cause: any unread input, and any incomplete line, made the shutdown wait to its latest time; such clients always have some.

Change: input that was received, and lines that were begun, after the time in which clients may begin requests don't count (Lifecycle::kMinDrainTime).

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -102,7 +102,10 @@
   core::Tick tick;
   tick.output_pending =
       platform_front_->has_unsent_output() || (mysql_front_ && mysql_front_->has_unsent_output());
-  tick.input_pending = platform_front_->receives_request() || !read_queue_.empty(net::ReadPriority::prompt);
+  const auto drain_end = reducer_.lifecycle().min_drain_end();
+  tick.input_pending = platform_front_->receives_request(drain_end) ||
+                       read_queue_.has_input_from_before(drain_end, net::ReadPriority::prompt) ||
+                       read_queue_.has_input_from_before(drain_end, net::ReadPriority::normal);
   return tick;
 }
 
--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -90,6 +90,8 @@
   [[nodiscard]] bool drain_expired(Time now) const {
     return phase_ == Phase::draining && now >= phase_entered_at_ + max_drain_time_;
   }
+  // While it drains: until when clients may begin to send requests.
+  [[nodiscard]] Time min_drain_end() const { return phase_entered_at_ + kMinDrainTime; }
   // The result of the readiness check.
   [[nodiscard]] bool ready() const { return phase_ == Phase::serving; }
   // New requests are rejected: the program would exit before they were answered.
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -303,6 +303,7 @@
 }
 
 void Front::on_partial_line(Connection& connection, std::string_view bytes) {
+  if (connection.partial_line.empty()) connection.line_started_at = now_;
   partial_bytes_ += bytes.size();
   connection.partial_line.append(bytes);
   if (connection.partial_line.size() > kMaxLineBytes)
@@ -403,11 +404,11 @@
   return true;
 }
 
-bool Front::receives_request() const {
-  return std::ranges::any_of(connections_, [this](const auto& entry) {
+bool Front::receives_request(core::Time begun_before) const {
+  return std::ranges::any_of(connections_, [this, begun_before](const auto& entry) {
     const auto& connection = *entry.second;
-    return receives_line(connection) && !connection.sends_useless_input &&
-           now_ < connection.timeout_start + kSilenceTimeout;
+    return receives_line(connection) && connection.line_started_at < begun_before &&
+           !connection.sends_useless_input && now_ < connection.timeout_start + kSilenceTimeout;
   });
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -46,8 +46,9 @@
   // Stops accepting connections and requests: the sending side of each connection is closed after the last
   // response, and further input is read and dropped.
   void stop();
-  // Whether some client has sent part of a request lately, so that the rest may follow.
-  [[nodiscard]] bool receives_request() const;
+  // Whether some client has begun a request before `begun_before` and has sent part of it lately, so that the
+  // rest may follow.
+  [[nodiscard]] bool receives_request(core::Time begun_before = core::Time::max()) const;
   // Bytes that it holds of the incomplete lines of all clients.
   [[nodiscard]] std::size_t partial_bytes() const { return partial_bytes_; }
   // Lines that were rejected before their end and have not been answered yet, since their ids are not known.
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -524,5 +524,25 @@
   EXPECT_TRUE(test.wait_for_requests(2));
 }
 
+// Guards against a shutdown that waits for requests which clients have begun when they should send no more.
+TEST(Front, ReportsOnlyRequestsThatWereBegunBeforeTheGivenTime) {
+  TestFront test;
+  auto client = client_with_open_request(test);
+  const auto limit = test.now + 1s;
+  test.advance(900ms);
+  ASSERT_TRUE(test.send(client, request_line(2).substr(0, 20)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  test.advance(200ms);
+  ASSERT_TRUE(test.send(client, request_line(2).substr(20, 20)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(40));
+  EXPECT_TRUE(test.front.receives_request(limit));
+  ASSERT_TRUE(test.send(client, request_line(2).substr(40)));
+  ASSERT_TRUE(test.wait_for_requests(2));
+  ASSERT_TRUE(test.send(client, request_line(3).substr(0, 20)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  EXPECT_FALSE(test.front.receives_request(limit));
+  EXPECT_TRUE(test.front.receives_request());
+}
+
 }  // namespace
 }  // namespace bellstair::test
