Give known clients half of the memory for incomplete lines

Cause: the line that is rejected to make room is the one with the most bytes times silence, and a fresh long line of a usual client costs more than a shorter old one of a bad client. Whether the client had sent a request before did not count.

Change: half of the memory is for clients that have sent a request before, half for the others, and lines are rejected among those who use more than their half.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -226,10 +226,17 @@
     reject_line(costliest_partial_line(), kRpcRejected, "too much incomplete input");
 }
 
-// It is the line that has used most memory for the longest time since its client last sent a part of it. The
-// time that is added keeps the short lines of slow clients behind long ones that have only just come.
+// Half of the memory is for clients that have sent a request before, half for the others. Of those that use
+// more than their half, it is the line that has used most memory for the longest time since its client last
+// sent a part of it. The time that is added keeps the short lines of slow clients behind long ones that have
+// only just come.
 Front::Connection& Front::costliest_partial_line() {
-  const auto cost = [this](const Connection& connection) {
+  std::size_t unidentified_bytes = 0;
+  for (const auto& [id, connection] : connections_)
+    unidentified_bytes += connection->request_received ? 0 : connection->partial_line.size();
+  const bool is_known = unidentified_bytes <= kMaxPartialBytes / 2;
+  const auto cost = [this, is_known](const Connection& connection) {
+    if (connection.request_received != is_known) return std::size_t{0};
     const auto silence = now_ - connection.timeout_start + kSilenceTimeout;
     return connection.partial_line.size() * static_cast<std::size_t>(silence / 1ms);
   };
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -130,7 +130,7 @@
   }
   // Rejects incomplete lines until all that remain fit kMaxPartialBytes.
   void limit_partial_bytes();
-  // The connection with the incomplete line to reject first; there must be one.
+  // The connection with the incomplete line to reject first; all lines together must exceed kMaxPartialBytes.
   Connection& costliest_partial_line();
   // Half-closes a connection that can't be used any more once it has no open requests. Returns whether it
   // did.
