Keep the events asked for after a failed epoll_ctl until one of them has occurred

Cause: after a failed epoll_ctl, libev takes the events of that call for registered. The stream asks for others then, so that libev asks the system again; but a write before that went back to the events of the failed call, libev skipped the call, and the output that waited was never sent.

Change: the events are not changed until one of them has been reported.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace bellstair::net {
 namespace {
@@ -33,6 +34,7 @@
 bool Stream::wants_input() const { return fd_ && !connecting_ && !paused_ && !input_ended_ && !failed_; }
 
 void Stream::update_watcher() {
+  if (restarting_) return;
   int events = 0;
   if (wants_input()) events |= ev::READ;
   if (connecting_ || unsent_bytes() > 0 || failed_) events |= ev::WRITE;
@@ -47,8 +49,9 @@
 
 // libev could not change the events that the kernel watches, and has stopped the watcher. It assumes that the
 // kernel knows the events last requested and does not request the same ones again, so a different set is
-// requested here. That set contains an event that soon occurs and leads to update_watcher().
+// requested here, and not changed before one of its events has occurred: that shows that the kernel knows it.
 void Stream::restart_watcher() {
+  restarting_ = true;
   io_.start(fd_.get(), io_.events == ev::WRITE ? ev::READ | ev::WRITE : ev::WRITE);
 }
 
@@ -119,6 +122,7 @@
 void Stream::on_io(ev::io&, int events) {
   if (failed_) return fail();
   if ((events & ev::ERROR) != 0) return restart_watcher();
+  if (std::exchange(restarting_, false)) update_watcher();
   if (connecting_) {
     if (const int error = connect_error(fd_.get()); error != 0) {
       reset_before_connected_ = error == ECONNRESET;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -90,6 +90,7 @@
   Fd fd_;
   bool connecting_, paused_ = false, input_ended_ = false, failed_ = false, write_closing_ = false,
                     reset_before_connected_ = false;
+  bool restarting_ = false;  // see restart_watcher()
   std::size_t max_unsent_bytes_;
   ReadQueue* read_queue_;
   ReadPriority read_priority_ = ReadPriority::prompt;
