Let a shutdown wait for what known clients send late, too

Change: the limit of time holds for clients that have sent no request yet, since nobody connects that late. Input of known clients counts once it has been unread for 50 ms, and their incomplete lines as before: a client sends again what crosses the end of its connection by less.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t kMaxQueuedEvents = 256;
 // If the configuration can't be read, it is tried again at this interval for this long.
 constexpr core::Time kReloadRetryInterval = 100ms, kMaxReloadTime = 10s;
+// A client sends a request again if its connection is closed this soon after it has sent it.
+constexpr core::Time kMaxCrossing = 50ms;
 // Jumps of the wall clock that exceed this are logged.
 constexpr core::Time kMinLoggedJump = 500ms;
 // A poll of the loop reports at least this many descriptors, if so many are ready.
@@ -103,9 +105,14 @@
   tick.output_pending =
       platform_front_->has_unsent_output() || (mysql_front_ && mysql_front_->has_unsent_output());
   const auto drain_end = reducer_.lifecycle().min_drain_end();
-  tick.input_pending = platform_front_->receives_request(drain_end) ||
-                       read_queue_.has_input_from_before(drain_end, net::ReadPriority::prompt) ||
-                       read_queue_.has_input_from_before(drain_end, net::ReadPriority::normal);
+  const auto has_unread_input = [this](net::ReadPriority priority, core::Time received_before) {
+    return read_queue_.has_input_from_before(received_before, priority);
+  };
+  tick.input_pending =
+      platform_front_->receives_request(drain_end) ||
+      has_unread_input(net::ReadPriority::prompt, std::max(drain_end, last_poll_at_ - kMaxCrossing)) ||
+      has_unread_input(net::ReadPriority::deferred, drain_end) ||
+      has_unread_input(net::ReadPriority::normal, drain_end);
   return tick;
 }
 
--- a/src/net/read_queue.cpp
+++ b/src/net/read_queue.cpp
@@ -48,8 +48,9 @@
 }
 
 bool ReadQueue::has_input_from_before(core::Time time, ReadPriority priority) const {
-  return std::ranges::any_of(waiting(priority),
-                             [time](const auto& entry) { return entry.second.arrival.end < time; });
+  return std::ranges::any_of(waiting(priority), [time, priority](const auto& entry) {
+    return entry.second.stream->read_priority() == priority && entry.second.arrival.end < time;
+  });
 }
 
 void ReadQueue::remove(const Stream& stream) {
--- a/src/net/read_queue.hpp
+++ b/src/net/read_queue.hpp
@@ -52,7 +52,7 @@
   // Of the line of streams with this priority.
   [[nodiscard]] bool empty(ReadPriority priority) const { return waiting(priority).empty(); }
   [[nodiscard]] std::size_t size(ReadPriority priority) const { return waiting(priority).size(); }
-  // Whether some stream in the line of this priority has input that was received before this time.
+  // Whether some waiting stream of this priority has input that was received before this time.
   [[nodiscard]] bool has_input_from_before(core::Time time, ReadPriority priority) const;
   // Lets the first stream in the line of this priority have its turn; there must be one. If it has more to
   // read, it waits again. Returns when what it has read was received.
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -414,8 +414,9 @@
 bool Front::receives_request(core::Time begun_before) const {
   return std::ranges::any_of(connections_, [this, begun_before](const auto& entry) {
     const auto& connection = *entry.second;
-    return receives_line(connection) && connection.line_started_at < begun_before &&
-           !connection.sends_useless_input && now_ < connection.timeout_start + kSilenceTimeout;
+    const bool may_be_request = connection.request_received || connection.line_started_at < begun_before;
+    return receives_line(connection) && may_be_request && !connection.sends_useless_input &&
+           now_ < connection.timeout_start + kSilenceTimeout;
   });
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -46,8 +46,8 @@
   // Stops accepting connections and requests: the sending side of each connection is closed after the last
   // response, and further input is read and dropped.
   void stop();
-  // Whether some client has begun a request before `begun_before` and has sent part of it lately, so that the
-  // rest may follow.
+  // Whether some client has sent part of a request lately, so that the rest may follow. Of clients that have
+  // sent no request before, only lines count that were begun before `begun_before`.
   [[nodiscard]] bool receives_request(core::Time begun_before = core::Time::max()) const;
   // Bytes that it holds of the incomplete lines of all clients.
   [[nodiscard]] std::size_t partial_bytes() const { return partial_bytes_; }
--- a/tests/net/front_test.cpp
+++ b/tests/net/front_test.cpp
@@ -553,24 +553,31 @@
   EXPECT_FALSE(known.socket.has_unread_bytes());
 }
 
-// Guards against a shutdown that waits for requests which clients have begun when they should send no more.
-TEST(Front, ReportsOnlyRequestsThatWereBegunBeforeTheGivenTime) {
+// Guards against a shutdown that waits for clients not known which begin lines when no client connects any
+// more, and against one that cuts off a known client.
+TEST(Front, LinesOfClientsNotKnownCountOnlyIfTheyWereBegunBeforeTheGivenTime) {
+  constexpr std::size_t kPartBytes = 20;
   TestFront test;
-  auto client = client_with_open_request(test);
   const auto limit = test.now + 1s;
   test.advance(900ms);
-  ASSERT_TRUE(test.send(client, request_line(2).substr(0, 20)));
-  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  const auto line = request_line(1);
+  Client early(test.front.address());
+  ASSERT_TRUE(test.send(early, line.substr(0, kPartBytes)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(kPartBytes));
   test.advance(200ms);
-  ASSERT_TRUE(test.send(client, request_line(2).substr(20, 20)));
-  ASSERT_TRUE(test.wait_for_partial_bytes(40));
+  ASSERT_TRUE(test.send(early, line.substr(kPartBytes, kPartBytes)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(2 * kPartBytes));
   EXPECT_TRUE(test.front.receives_request(limit));
-  ASSERT_TRUE(test.send(client, request_line(2).substr(40)));
-  ASSERT_TRUE(test.wait_for_requests(2));
-  ASSERT_TRUE(test.send(client, request_line(3).substr(0, 20)));
-  ASSERT_TRUE(test.wait_for_partial_bytes(20));
+  ASSERT_TRUE(test.send(early, line.substr(2 * kPartBytes)));
+  ASSERT_TRUE(test.wait_for_requests(1));
+  Client late(test.front.address());
+  ASSERT_TRUE(test.send(late, line.substr(0, kPartBytes)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(kPartBytes));
   EXPECT_FALSE(test.front.receives_request(limit));
   EXPECT_TRUE(test.front.receives_request());
+  ASSERT_TRUE(test.send(early, request_line(2).substr(0, kPartBytes)));
+  ASSERT_TRUE(test.wait_for_partial_bytes(2 * kPartBytes));
+  EXPECT_TRUE(test.front.receives_request(limit));
 }
 
 }  // namespace
--- a/tests/net/read_queue_test.cpp
+++ b/tests/net/read_queue_test.cpp
@@ -121,8 +121,9 @@
   test.queue.add(soon);
   test.queue.on_poll(105ms + net::ReadQueue::kDeferral, 106ms + net::ReadQueue::kDeferral);
   test.queue.add(later);
-  EXPECT_TRUE(test.queue.has_input_from_before(106ms, ReadPriority::prompt));
-  EXPECT_FALSE(test.queue.has_input_from_before(105ms, ReadPriority::prompt));
+  EXPECT_TRUE(test.queue.has_input_from_before(106ms, ReadPriority::deferred));
+  EXPECT_FALSE(test.queue.has_input_from_before(105ms, ReadPriority::deferred));
+  EXPECT_FALSE(test.queue.has_input_from_before(106ms, ReadPriority::prompt));
   while (!test.queue.empty(ReadPriority::prompt)) test.queue.read_next(ReadPriority::prompt);
   EXPECT_EQ(test.reads, "s1 d1 l1 ");
   EXPECT_FALSE(test.queue.waits(deferred));
