Send nothing once the membership has not been confirmed for 7 s

The change log was down for 8 s, an engine began to drain in its second second, and the broker sent it requests until the change log was back.

Cause: nothing kept the time at which the list of engines was last known to be current.

Change: a lease of 7 s on the membership, counted from the last bytes of the last valid response. Once it has expired nothing new is sent, no retry either, and no attempt whose connection comes up only then (Send::send_by). Requests wait in their queues as when no engine has room, and are refused when they have waited too long.

Tests: MembershipLease.* (three of five) and ChangeLogOutage.* seen to fail without the checks in may_send() and send_deadline(); MembershipLease.WithoutOne... and ...KeepsTheEarlierLimit hold either way. ChangeLogFollower.ConfirmsTheMembershipWithEachValidResponseOnly is for what was not there before.

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -140,6 +140,8 @@
   Time order_quiet_period{};            // pause of an order key after an attempt with an ambiguous outcome
   Time max_membership_age{};            // with membership_on_request: a gateway that neither watches nor asks
                                         // for this long counts as notified of the membership at that time
+  Time membership_lease{};              // how long after MembershipConfirmed::at queries may still be sent
+                                        // to the engines known; 0: always
   std::optional<RetryBudget> retry_budget;  // none: attempts are limited by max_attempts alone
 };
 
@@ -195,6 +197,11 @@
   std::vector<EngineEntry> engines;
 };
 
+// The source of the membership has responded: all updates up to then have been passed on.
+struct MembershipConfirmed {
+  Time at{};  // when the response was received
+};
+
 // A client has sent a request.
 struct Arrival {
   RequestId request = 0;
@@ -253,8 +260,8 @@
   std::string bytes;
 };
 
-using Event = std::variant<MembershipUpdate, Arrival, ProgressReport, AttemptResult, RequestCancelled,
-                           TimerExpired, ProbeResult, PeerMessage>;
+using Event = std::variant<MembershipUpdate, MembershipConfirmed, Arrival, ProgressReport, AttemptResult,
+                           RequestCancelled, TimerExpired, ProbeResult, PeerMessage>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -13,6 +13,10 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
+// A broker is held to what an unreachable change log would have reported from this long after the beginning
+// of the outage on, and does not know what that is.
+constexpr core::Time kMembershipLease = 7s;
+
 template <class Number>
 std::optional<Number> parse_hex(std::string_view digits) {
   Number value = 0;
@@ -151,6 +155,7 @@
   } catch (const std::exception& error) {
     throw ConfigError(error.what());
   }
+  out.settings.membership_lease = kMembershipLease;
   out.names = parse_names(settings);
   const json& ceilings = require_object(require_field(settings, "ceilings"), "settings.ceilings");
   const auto time_or = [&](const char* key, core::Time fallback) {
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -78,6 +78,11 @@
   bool live = false;            // read from the change log, not from the configuration's initial membership
 };
 
+// The change log has responded; the membership changes in its response have been reported.
+struct MembershipConfirmed {
+  Time at{};  // when the response was received
+};
+
 // No further membership change is expected for now.
 struct DiscoveryIdle {
   bool caught_up = false;  // true: the change log has reported no newer event; false: it can't be read
@@ -152,9 +157,10 @@
   bool input_pending = false;   // part of a request has been received, and the rest may follow
 };
 
-using Event = std::variant<Listening, MembershipChange, DiscoveryIdle, RequestArrived, RequestCancelled,
-                           ClientHalfClosed, AttemptReady, AttemptProgressed, AttemptEnded, ProbeEnded,
-                           PeerMessageReceived, ShutdownRequested, ReloadRequested, ConfigurationRead, Tick>;
+using Event = std::variant<Listening, MembershipChange, MembershipConfirmed, DiscoveryIdle, RequestArrived,
+                           RequestCancelled, ClientHalfClosed, AttemptReady, AttemptProgressed, AttemptEnded,
+                           ProbeEnded, PeerMessageReceived, ShutdownRequested, ReloadRequested,
+                           ConfigurationRead, Tick>;
 
 // ---- effects
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -221,6 +221,10 @@
   if (change.live) handle(DiscoveryIdle{});
 }
 
+void Reducer::handle(const MembershipConfirmed& confirmed) {
+  pending_events_.push_back(heronwell::MembershipConfirmed{confirmed.at});
+}
+
 void Reducer::handle(const DiscoveryIdle& idle) {
   if (idle.caught_up) start_clock_.set_caught_up(now_);
   const auto ready = [](const auto& known) { return known.second.entry.state == EngineState::ready; };
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -78,6 +78,7 @@
 
   void handle(const Listening&);
   void handle(MembershipChange& change);
+  void handle(const MembershipConfirmed& confirmed);
   void handle(const DiscoveryIdle& idle);
   void handle(RequestArrived& arrived);
   void handle(const RequestCancelled& cancelled);
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -105,6 +105,9 @@
   if (std::exchange(failure_logged_, false))
     std::fprintf(stderr, "bellstair: change log: responds again, up to event %llu\n",
                  static_cast<unsigned long long>(last_seq_));
+  // After a pause of the process the response may be as old as the pause.
+  emit_(
+      core::MembershipConfirmed{std::max(connection.polled_at, now_ - connection.stream->time_since_data())});
   // After new events there may be more already.
   caught_up_ = last_seq_ == previous_seq;
   if (caught_up_) emit_(core::DiscoveryIdle{true});
--- a/src/platform/changelog.hpp
+++ b/src/platform/changelog.hpp
@@ -18,9 +18,10 @@
 
 namespace bellstair::platform {
 
-// Long-polls the change log for events after the last one known, and emits a MembershipChange for each. Emits
-// DiscoveryIdle when there are no more events, or when a request fails; it reconnects after failures. A
-// response that is overdue is requested again on another connection, but is still used if it comes.
+// Long-polls the change log for events after the last one known, and emits a MembershipChange for each, then
+// MembershipConfirmed. Emits DiscoveryIdle when there are no more events, or when a request fails; it
+// reconnects after failures. A response that is overdue is requested again on another connection, but is
+// still used if it comes.
 class ChangeLog {
  public:
   // How long a long poll asks the change log to wait for new events. If the change log stops, the broker is
@@ -33,8 +34,8 @@
   static constexpr core::Time kReconnectDelay = std::chrono::milliseconds(100);
   static constexpr core::Time kMinPollInterval = std::chrono::milliseconds(10);
   static constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 20;
-  // On which overdue responses are awaited. A change log that takes longer than so many times
-  // kResponseTimeout is not heard.
+  // On which overdue responses are awaited: as many as kResponseTimeout allows to begin while the membership
+  // may be used without a response. A change log that takes longer than that is not heard.
   static constexpr std::size_t kMaxOverdueConnections = 4;
 
   // `names` must outlive this object. `last_seq`: the number of the last event known.
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -53,7 +53,7 @@
   if (settings_.memory_reservations || settings_.priorities)
     emit(ExecutionLimits{request.arrival.request, memory_reservation(request), priority(request)});
   emit(Send{request.arrival.request, engine.entry.engine, request.deadline - kDeadlineMargin,
-            retry_deadline(request)});
+            send_deadline(request)});
   engine.admission_work_left -= slow_start_work(request);
   if (engine.in_flight.empty()) engine.last_response = now_;
   engine.in_flight.insert({request.arrival.request, static_cast<AttemptIndex>(request.attempts.size())});
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -29,6 +29,27 @@
   fleet_changed_ = true;
 }
 
+void Gateway::Impl::apply(const MembershipConfirmed& confirmed) {
+  membership_confirmed_at_ = std::max(membership_confirmed_at_, confirmed.at);
+}
+
+Time Gateway::Impl::membership_lease_end() const {
+  return settings_.membership_lease > Time::zero() ? membership_confirmed_at_ + settings_.membership_lease
+                                                   : Time::zero();
+}
+
+// An engine may have begun to drain, and this gateway would be held to that, without a way to know of it.
+bool Gateway::Impl::membership_expired() const {
+  return membership_lease_end() > Time::zero() && now_ >= membership_lease_end();
+}
+
+void Gateway::Impl::trace_membership_lease() {
+  if (membership_expired() == membership_expiry_traced_) return;
+  membership_expiry_traced_ = !membership_expiry_traced_;
+  emit(Trace{membership_expiry_traced_ ? "the membership has expired: nothing is sent before it is confirmed"
+                                       : "the membership is confirmed again"});
+}
+
 // Runs only when the membership or the health of an engine has changed, not in each call.
 void Gateway::Impl::update_fleet() {
   fleet_changed_ = false;
--- a/src/policy/gateway.cpp
+++ b/src/policy/gateway.cpp
@@ -58,6 +58,7 @@
       requests_.at(request_id).attempts[attempt_index].last_report += process_pause_;
   }
   for (const auto& event : events) std::visit([this](const auto& e) { apply(e); }, event);
+  trace_membership_lease();
   if (fleet_changed_) update_fleet();
   assign_thread_budgets();
   while (release_next(true) || release_next(false)) continue;
@@ -72,7 +73,7 @@
 
 void Gateway::Impl::start() {
   started_ = true;
-  last_control_step_ = last_tick_ = last_peer_message_ = now_;
+  last_control_step_ = last_tick_ = last_peer_message_ = membership_confirmed_at_ = now_;
   if (settings_.membership_on_request) emit(WatchMembership{true});
   emit(SetTimer{kTimerInterval});
 }
--- a/src/policy/gateway_impl.hpp
+++ b/src/policy/gateway_impl.hpp
@@ -46,6 +46,13 @@
 
   // Takes over a membership update; update_fleet() must be called afterwards.
   void apply(const MembershipUpdate& update);
+  // Extends the membership's lease.
+  void apply(const MembershipConfirmed& confirmed);
+  // From then on the membership may be out of date; 0: never.
+  Time membership_lease_end() const;
+  bool membership_expired() const;
+  // Logs that the membership has expired, or has been confirmed again.
+  void trace_membership_lease();
   // Recomputes what depends on the set of engines or on their health.
   void update_fleet();
   double engine_cores(const Engine& engine) const;
@@ -125,6 +132,8 @@
   bool placement_allowed(const Request& request, const Engine& engine) const;
   // Point in time by which a retry of a keyed request must have been sent; 0: no limit.
   Time retry_deadline(const Request& request) const;
+  // Point in time by which an attempt of the request must have been sent; 0: no limit.
+  Time send_deadline(const Request& request) const;
   // An attempt on this engine cannot execute the query's effect twice.
   bool retry_allowed(const Request& request, const Engine& engine) const;
   // Per-key ordering lets the request start now.
@@ -275,6 +284,7 @@
   std::uint64_t selection_round_ = 0;                               // counts the choices in a large fleet
   bool started_ = false,                                            // start() has been called
       fleet_changed_ = false,                                       // update_fleet() is needed
+      membership_expiry_traced_ = false,                            // the last log line on the lease was that
       loads_block_readers_ = false;  // some class waits for bulk loads of its data group
   bool small_budget_ = false;        // the total thread budget is enough for a few queries only
   unsigned max_query_threads_ = 1;
@@ -305,6 +315,7 @@
       last_control_step_{},                               // last step of the controller
       last_tick_{},                                       // last timer event that was processed
       last_peer_message_{},                               // that was sent
+      membership_confirmed_at_{},           // see MembershipConfirmed; at first the time of the first call
       membership_retry_at_{},               // when to subscribe again after a failure; 0: not needed
       fleet_load_updated_{};                // when fleet_load() last got a report
   std::vector<Action>* actions_ = nullptr;  // output of the current call
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -18,7 +18,7 @@
 }
 
 bool Gateway::Impl::may_send(const Request& request, Engine& engine) {
-  return engine.ready && request.open && may_add_attempt(request) &&
+  return engine.ready && !membership_expired() && request.open && may_add_attempt(request) &&
          now_ < request.deadline - kDeadlineMargin && request.attempts.size() < settings_.max_attempts &&
          placement_allowed(request, engine) && retry_allowed(request, engine) && is_next_for_key(request) &&
          (request.attempts.empty() || within_retry_budget()) && slow_start_allows(request, engine);
@@ -47,6 +47,13 @@
                      : Time::zero();
 }
 
+// The connection may be established only after that.
+Time Gateway::Impl::send_deadline(const Request& request) const {
+  const Time retry_end = retry_deadline(request), lease_end = membership_lease_end();
+  if (retry_end == Time::zero() || lease_end == Time::zero()) return std::max(retry_end, lease_end);
+  return std::min(retry_end, lease_end);
+}
+
 bool Gateway::Impl::retry_allowed(const Request& request, const Engine& engine) const {
   const auto first_run = std::ranges::find_if_not(request.attempts, &Attempt::known_not_run);
   if (settings_of(request).idempotency == Idempotency::safe || first_run == request.attempts.end())
--- a/tests/net/changelog_test.cpp
+++ b/tests/net/changelog_test.cpp
@@ -66,6 +66,10 @@
   void on_event(core::Event event) {
     if (auto* change = std::get_if<core::MembershipChange>(&event)) changes.push_back(std::move(*change));
     if (std::holds_alternative<core::DiscoveryIdle>(event)) ++idle_reports;
+    if (const auto* confirmed = std::get_if<core::MembershipConfirmed>(&event)) {
+      ++confirmations;
+      confirmed_at = confirmed->at;
+    }
   }
   void advance(core::Time time) { change_log.tick(now += time); }
   // Runs the loop until `condition` holds, for at most kWaitTimeout; returns whether it does. The clock
@@ -97,7 +101,8 @@
   config::NameIndex names;
   core::Time now{1000s};
   std::vector<core::MembershipChange> changes;
-  int idle_reports = 0;
+  int idle_reports = 0, confirmations = 0;
+  core::Time confirmed_at{};  // by the last confirmation
   ChangeLog change_log;
 };
 constexpr core::Time kClockStep = 10ms;
@@ -170,6 +175,29 @@
                 ChangeLog::kLongPollTimeout + 2s);
 }
 
+// Guards against attempts that are sent to engines that drain while the change log is down: nothing but a
+// valid response shows that it is up.
+TEST(ChangeLogFollower, ConfirmsTheMembershipWithEachValidResponseOnly) {
+  FakeChangeLog log([](int n, const std::string&) {
+    if (n == 1) return poll_response(2, {fleet_event(2, "s-00000002")});
+    if (n == 2) return poll_response(2);
+    if (n == 3) return http_response(500, "{}");
+    if (n == 4) return http_response(200, "[]");
+    return std::string();
+  });
+  TestFollower follower(log.server.address());
+  ASSERT_TRUE(follower.run_until([&] { return follower.confirmations == 1; }, kClockStep));
+  EXPECT_EQ(follower.changes.size(), 1U) << "the changes of a response are reported before it";
+  ASSERT_TRUE(follower.run_until([&] { return follower.confirmations == 2; }, kClockStep));
+  const auto confirmed_at = follower.confirmed_at;
+  EXPECT_LE(confirmed_at, follower.now);
+  EXPECT_GE(confirmed_at, core::Time{1000s});
+  ASSERT_TRUE(follower.run_until([&] { return log.request_count() == 5; }, kClockStep));
+  follower.advance(ChangeLog::kResponseTimeout);
+  EXPECT_EQ(follower.confirmations, 2);
+  EXPECT_EQ(follower.confirmed_at, confirmed_at);
+}
+
 // Guards against a slow change log that is never heard, since its responses come after they were requested
 // again.
 TEST(ChangeLogFollower, UsesAnOverdueResponse) {
@@ -188,6 +216,7 @@
   EXPECT_TRUE(follower.changes.empty());
   released.set_value();
   ASSERT_TRUE(follower.run_until([&] { return !follower.changes.empty(); }));
+  EXPECT_EQ(follower.confirmations, 1);
   // It goes on with the connection that has responded.
   ASSERT_TRUE(follower.run_until([&] { return log.request_count() == 3; }, kClockStep));
   EXPECT_EQ(log.connection_count(), 2U);
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -114,12 +114,13 @@
 class Server {
  public:
   using Handler = std::function<void(Socket&)>;
-  explicit Server(Handler handler)
+  // `address`: where it listens, for example where an earlier server did; by default on a free port.
+  explicit Server(Handler handler, const std::string& address = "127.0.0.1:0")
       : handler_(std::move(handler)), fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in endpoint{};
-    endpoint.sin_family = AF_INET;
-    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::bind(fd_.get(), reinterpret_cast<sockaddr*>(&endpoint), sizeof endpoint) != 0 ||
+    const auto endpoint = net::parse_address(address).value();
+    const int enabled = 1;
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    if (::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&endpoint), sizeof endpoint) != 0 ||
         ::listen(fd_.get(), 64) != 0)
       throw std::runtime_error("cannot listen");
     address_ = net::local_address(fd_.get());
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -64,6 +64,97 @@
   EXPECT_EQ(harness.rejections[1], 1);
 }
 
+// ---- the membership's lease ----------------------------------------------------------------------------
+
+Settings lease_settings() {
+  auto settings = base_settings();
+  settings.membership_lease = 7s;
+  return settings;
+}
+
+// Guards against attempts on an engine that has begun to drain while the change log could not be read.
+TEST(MembershipLease, NothingIsSentOnceItHasExpiredUntilTheMembershipIsConfirmed) {
+  GatewayHarness harness(lease_settings());
+  harness.update_membership({engine_entry(7), engine_entry(8)});
+  const Time confirmed_at = harness.now;
+  harness.handle_at(confirmed_at, {MembershipConfirmed{confirmed_at}});
+  harness.run_until(confirmed_at + 6900ms);
+  harness.submit_request(1, kSafeClass);
+  EXPECT_EQ(harness.sends_for_request(1), 1) << "it serves while the lease lasts";
+  EXPECT_EQ(harness.sends.at(0).send_by, confirmed_at + 7s) << "the connection may take a while";
+  harness.run_until(confirmed_at + 7s);
+  harness.submit_request(2, kSafeClass);
+  harness.submit_request(3, kUnsafeClass);
+  EXPECT_EQ(harness.sends_for_request(2) + harness.sends_for_request(3), 0);
+  // A retry waits too.
+  harness.end_attempt(1, 0, harness.sends.at(0).engine, AttemptStatus::rejected);
+  EXPECT_EQ(harness.sends_for_request(1), 1);
+  harness.run_until(confirmed_at + 7200ms);
+  EXPECT_EQ(harness.sends.size(), 1U);
+  harness.handle_at(harness.now, {MembershipUpdate{MembershipUpdateKind::delta,
+                                                   {with_state(engine_entry(7), EngineState::draining)}},
+                                  MembershipConfirmed{harness.now}});
+  harness.run_until(harness.now + 100ms);
+  EXPECT_EQ(harness.sends_for_request(1), 2);
+  EXPECT_EQ(harness.sends_for_request(2), 1);
+  EXPECT_EQ(harness.sends_for_request(3), 1);
+  for (std::size_t n = 1; n < harness.sends.size(); ++n) EXPECT_EQ(harness.sends[n].engine, 8U);
+}
+
+TEST(MembershipLease, RequestsGetOneAnswerEachWhileItHasExpired) {
+  GatewayHarness harness(lease_settings());
+  harness.update_membership({engine_entry(7)});
+  harness.run_until(harness.now + 8s);
+  harness.submit_request(1, kSafeClass);
+  harness.submit_request(2, kUnsafeClass, 200ms);
+  harness.submit_request(3, kKeyedClass, 5s, 17);
+  harness.run_until(harness.now + 6s);
+  for (const RequestId request : {1, 2, 3}) {
+    EXPECT_EQ(harness.sends_for_request(request), 0);
+    EXPECT_EQ(harness.rejections[request], 1) << "request " << request;
+    EXPECT_EQ(harness.failures[request], 0);
+  }
+}
+
+// Outages that follow one another: each confirmation in between counts.
+TEST(MembershipLease, LastsFromTheLatestConfirmation) {
+  GatewayHarness harness(lease_settings());
+  harness.update_membership({engine_entry(7)});
+  const Time begin = harness.now;
+  for (const Time at : {begin + 5s, begin + 10s}) {
+    harness.run_until(at);
+    harness.handle_at(at, {MembershipConfirmed{at}});
+  }
+  harness.handle_at(harness.now, {MembershipConfirmed{begin}});  // an older one has no effect
+  harness.run_until(begin + 16900ms);
+  harness.submit_request(1, kSafeClass);
+  EXPECT_EQ(harness.sends_for_request(1), 1);
+  harness.run_until(begin + 17s);
+  harness.submit_request(2, kSafeClass);
+  EXPECT_EQ(harness.sends_for_request(2), 0);
+}
+
+TEST(MembershipLease, ARetryOfAKeyedRequestKeepsTheEarlierLimit) {
+  GatewayHarness harness(lease_settings());
+  harness.update_membership({engine_entry(7), engine_entry(8)});
+  harness.submit_request(1, kKeyedClass);
+  const Time first_sent = harness.now;
+  harness.end_attempt(1, 0, harness.sends.at(0).engine, AttemptStatus::connection_reset);
+  harness.run_until(harness.now + 200ms);
+  ASSERT_EQ(harness.sends_for_request(1), 2);
+  EXPECT_GT(harness.sends.at(1).send_by, first_sent);
+  EXPECT_LT(harness.sends.at(1).send_by, first_sent + 2s) << "the deduplication window ends before the lease";
+}
+
+TEST(MembershipLease, WithoutOneAnUnconfirmedMembershipStaysInUse) {
+  GatewayHarness harness(base_settings());
+  harness.update_membership({engine_entry(7)});
+  harness.run_until(harness.now + 60s);
+  harness.submit_request(1, kSafeClass);
+  ASSERT_EQ(harness.sends_for_request(1), 1);
+  EXPECT_EQ(harness.sends.at(0).send_by, Time::zero());
+}
+
 // ---- no query takes effect twice -----------------------------------------------------------------------
 
 class UnsafeRequestAfterAttempt : public ::testing::TestWithParam<std::pair<AttemptStatus, bool>> {};
