Hold attempts until what their clients have sent is read

Clients wrote long requests and closed; attempts for them began up to 3.1 s after the close (0.1 s is allowed).

Cause: the close or cancel is behind the requests, and is read after them, up to seconds later; and a ready attempt was begun before what had been read from its client in the same iteration.

Change: AttemptReady is handled after the clients' events, and held while input of the client's connection may have been unread for 50 ms or a line of it is still coming in.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -223,6 +223,7 @@
 void Broker::post(core::Event event) {
   if (ClientEvents::is_client_event(event))
     return client_events_.add(std::move(event), core::monotonic_now());
+  if (const auto* ready = std::get_if<core::AttemptReady>(&event)) return ready_attempts_.push_back(*ready);
   events_.push_back(std::move(event));
 }
 
@@ -252,12 +253,15 @@
   }
   read_clients(net::ReadPriority::normal, kNormalReadTime);
   read_clients(net::ReadPriority::bulk, kBulkReadTime);
+  ready_attempts_.insert(ready_attempts_.end(), held_attempts_.begin(), held_attempts_.end());
+  held_attempts_.clear();
   do {
     process_events();
+    begin_attempts();
     engine_driver_->process_pending();
     platform_front_->release_closed();
     if (mysql_front_) mysql_front_->release_closed();
-  } while (!events_.empty() || !client_events_.empty());
+  } while (!events_.empty() || !client_events_.empty() || !ready_attempts_.empty());
   const auto due = reducer_.next_policy_run();
   if (!due) return;
   policy_timer_.start(std::max(0.0, seconds(*due - core::monotonic_now())) + 1e-5, 0);
@@ -270,12 +274,33 @@
     events_.pop_front();
     if (auto* arrived = std::get_if<core::RequestArrived>(&event); arrived != nullptr && plugin_)
       apply_admission(arrived->request);
-    effects_.clear();
-    reducer_.reduce(core::monotonic_now(), std::move(event), effects_);
-    for (auto& effect : effects_) std::visit([this](auto& requested) { execute(requested); }, effect);
+    reduce(std::move(event));
   }
 }
 
+void Broker::begin_attempts() {
+  for (const auto& ready : std::exchange(ready_attempts_, {})) {
+    if (awaits_client_input(ready.id)) {
+      held_attempts_.push_back(ready);
+    } else {
+      reduce(ready);
+    }
+  }
+}
+
+void Broker::reduce(core::Event event) {
+  effects_.clear();
+  reducer_.reduce(core::monotonic_now(), std::move(event), effects_);
+  for (auto& effect : effects_) std::visit([this](auto& requested) { execute(requested); }, effect);
+}
+
+bool Broker::awaits_client_input(core::AttemptId id) const {
+  const auto client = reducer_.client_of(id);
+  const auto now = core::monotonic_now();
+  return platform_front_->awaits_input(client, now) ||
+         (mysql_front_ && mysql_front_->awaits_input(client, now));
+}
+
 // Logs at most one error a second, since a script that fails for one request fails for many.
 void Broker::apply_admission(core::ClientRequest& request) {
   const auto plugin_error = plugin_->admit(request);
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <memory>
+#include <vector>
 
 #include "app/client_events.hpp"
 #include "config/config.hpp"
@@ -56,6 +57,12 @@
   void read_configuration(bool report_error);
   // Passes all queued events to the reducer and executes the effects.
   void process_events();
+  // Begins the attempts that are ready, or holds them.
+  void begin_attempts();
+  // Passes an event to the reducer and executes the effects.
+  void reduce(core::Event event);
+  // Whether the attempt's client may have cancelled it or gone some time ago, which is not read yet.
+  [[nodiscard]] bool awaits_client_input(core::AttemptId id) const;
   // Runs the admission plug-in on the request. Errors of the plug-in are logged.
   void apply_admission(core::ClientRequest& request);
   // A function that calls post().
@@ -85,6 +92,9 @@
   std::uint64_t last_client_handle_ = 0;  // all fronts assign handles from this
   std::deque<core::Event> events_;        // not yet processed
   ClientEvents client_events_;            // to be processed after these
+  // Attempts with a connection. They begin after the events above, since their clients may have cancelled
+  // them; held: not before what their clients have sent is read.
+  std::vector<core::AttemptReady> ready_attempts_, held_attempts_;
   core::Effects effects_;
   core::Reducer reducer_;
   std::unique_ptr<net::EngineDriver> engine_driver_;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -137,6 +137,11 @@
   return request == nullptr || id.index >= request->attempts.size() ? nullptr : &request->attempts[id.index];
 }
 
+ClientHandle Reducer::client_of(AttemptId id) const {
+  const auto found = requests_.find(id.request);
+  return found == requests_.end() ? 0 : found->second.client_request.client;
+}
+
 // ---- events
 
 const char* Reducer::stage_name(Stage stage) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -41,6 +41,8 @@
   [[nodiscard]] const Lifecycle& lifecycle() const { return lifecycle_; }
   // When reduce() must be called so that the policy processes its pending events; none: there are none.
   [[nodiscard]] std::optional<Time> next_policy_run() const;
+  // The client of the attempt's request; 0: the request is not known any more.
+  [[nodiscard]] ClientHandle client_of(AttemptId id) const;
   // The number of requests without their final answer.
   [[nodiscard]] std::size_t unanswered_requests() const { return unanswered_; }
   // The number of requests that are unanswered or have an attempt that has not ended.
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -272,6 +272,13 @@
   }
 }
 
+bool Front::awaits_input(core::ClientHandle client, core::Time now) const {
+  const auto found = running_requests_.find(client);
+  return found != running_requests_.end() &&
+         read_queue_.has_input_from_before(now - net::ReadQueue::kMaxUnreadTime,
+                                           connections_.at(found->second)->stream);
+}
+
 bool Front::run(const core::Answer& answer) {
   const auto found = running_requests_.find(answer.client);
   if (found == running_requests_.end()) return false;
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -41,6 +41,9 @@
 
   // Sends the answer of a request. Returns false if the client is not one of this front.
   bool run(const core::Answer& answer);
+  // Whether the client of a running request may have closed its connection some time before `now`, which
+  // shows only once what it has sent is read.
+  [[nodiscard]] bool awaits_input(core::ClientHandle client, core::Time now) const;
   // Frees closed connections; called once in each iteration of the loop, outside of their handlers.
   void release_closed() { closed_.clear(); }
   // Advances the clock and closes connections that have not logged in in time.
--- a/src/net/read_queue.cpp
+++ b/src/net/read_queue.cpp
@@ -53,6 +53,11 @@
   });
 }
 
+bool ReadQueue::has_input_from_before(core::Time time, const Stream& stream) const {
+  const auto found = streams_.find(&stream);
+  return found != streams_.end() && found->second.position && found->second.last_arrival.begin < time;
+}
+
 void ReadQueue::remove(const Stream& stream) {
   const auto found = streams_.find(&stream);
   if (found == streams_.end()) return;
--- a/src/net/read_queue.hpp
+++ b/src/net/read_queue.hpp
@@ -39,6 +39,9 @@
   // Less than clients wait before they send a second request of a key after one on a new connection, so that
   // such requests are read in their order.
   static constexpr core::Time kDeferral = std::chrono::milliseconds(75);
+  // Input that has been unread for longer may be a cancellation, or hide that the peer has gone, for too
+  // long: no attempt may begin 100 ms after that.
+  static constexpr core::Time kMaxUnreadTime = std::chrono::milliseconds(50);
 
   // To be called after each poll of the event loop, before the streams that it reports are added. Both times
   // are on the monotonic clock: of the poll before, and of this one.
@@ -54,6 +57,8 @@
   [[nodiscard]] std::size_t size(ReadPriority priority) const { return waiting(priority).size(); }
   // Whether some waiting stream of this priority has input that was received before this time.
   [[nodiscard]] bool has_input_from_before(core::Time time, ReadPriority priority) const;
+  // Whether this stream has input that has not been read and may have been received before this time.
+  [[nodiscard]] bool has_input_from_before(core::Time time, const Stream& stream) const;
   // Lets the first stream in the line of this priority have its turn; there must be one. If it has more to
   // read, it waits again. Returns when what it has read was received.
   Arrival read_next(ReadPriority priority);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -12,6 +12,8 @@
 constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
 // How soon a client is looked at again that is silent as far as its input has been read, but has sent more.
 constexpr core::Time kUnreadInputDelay = 100ms;
+// A line of which nothing has been received for so long is one that its client writes slowly.
+constexpr core::Time kInputGap = 20ms;
 // A line that is too long is answered without its id if that has not been received this much later.
 constexpr core::Time kIdTimeout = 1s;
 }  // namespace
@@ -281,6 +283,7 @@
 
 void Front::on_data(Connection& connection, std::string_view bytes) {
   connection.cancellations = 0;
+  connection.last_read_at = core::monotonic_now();
   while (reads_lines(connection)) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
@@ -411,6 +414,17 @@
   return true;
 }
 
+// The system of a client that has gone still sends what the client has written, as fast as it is read. Then
+// its connection is in the middle of a line nearly whenever all that has come is read.
+bool Front::awaits_input(core::ClientHandle client, core::Time now) const {
+  const auto found = open_requests_.find(client);
+  if (found == open_requests_.end()) return false;
+  const auto& connection = *connections_.at(found->second.connection_id);
+  if (read_queue_.has_input_from_before(now - net::ReadQueue::kMaxUnreadTime, connection.stream)) return true;
+  const bool may_go_on = read_queue_.waits(connection.stream) || now < connection.last_read_at + kInputGap;
+  return (receives_line(connection) || connection.skips_line) && may_go_on;
+}
+
 bool Front::receives_request(core::Time begun_before) const {
   return std::ranges::any_of(connections_, [this, begun_before](const auto& entry) {
     const auto& connection = *entry.second;
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -39,6 +39,9 @@
   [[nodiscard]] const std::string& address() const { return address_; }
   // Sends the response to a request. Returns false if the client is not one of this front's.
   bool run(const core::Answer& answer);
+  // Whether the client of an open request may have cancelled it, or closed its connection, some time before
+  // `now`, which shows only once what it has sent is read. False if the client is not one of this front's.
+  [[nodiscard]] bool awaits_input(core::ClientHandle client, core::Time now) const;
   // Frees closed connections. To be called outside of their handlers.
   void release_closed() { closed_.clear(); }
   // Takes over the current monotonic time and handles timeouts.
@@ -92,6 +95,7 @@
     core::Time timer_at{};               // of its earliest timer; 0: none is armed
     unsigned protocol_errors = 0;
     std::size_t cancellations = 0;  // of open requests, in the input that is being processed
+    core::Time last_read_at{};      // when input was last read
     core::Time line_started_at{};   // when the first part of the incomplete line was received
     core::Time timeout_start{};     // when it was accepted, last sent part of a line, or was half-closed
     EvictionRank rank = EvictionRank::unidentified;
