Keep the ids of executed unsafe requests apart from those of other requests

An order-load ran twice when its id came again 2 to 5 s after its client had left or had its answer, if some 9000 other requests, refused ones too, were answered in between.

Cause: the last 8192 tickets of answered requests were kept, whatever had become of the requests.

Change: tickets of requests that may have run and must not run again are stored apart (TicketHistory), for 30 s as before.

Test: Reducer.TicketOfAnExecutedUnsafeRequestIsNotDisplacedByOtherTickets, seen to fail with all tickets stored together.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -12,10 +12,6 @@
 // A request that the policy has left unanswered times out this long before its deadline, so that the answer
 // still reaches the client in time.
 constexpr Time kAnswerMargin = 15ms;
-// The ticket of an answered request can't be used again for this long, or until more than
-// kMaxAnsweredTickets are stored.
-constexpr Time kTicketRetention = 30s;
-constexpr std::size_t kMaxAnsweredTickets = 8192;
 // A failure this close to the deadline or after it is answered as timed out; some fronts report the
 // difference.
 constexpr Time kTimeoutMargin = 60ms;
@@ -241,7 +237,7 @@
   if (client_request.admission_retry_after)
     return emit(
         Answer{client_request.client, AnswerKind::rejected, *client_request.admission_retry_after, {}, {}});
-  expire_tickets();
+  ticket_history_.expire(now_, [this](const std::string& ticket) { tickets_.erase(ticket); });
   const auto bytes = memory_use(client_request);
   const bool full = settings_.max_open_requests != 0 && unanswered_ >= settings_.max_open_requests;
   if (lifecycle_.stopped_accepting() || full || tracked_bytes_ + bytes > max_bytes_) {
@@ -568,18 +564,30 @@
   if (std::ranges::all_of(found->second.attempts, ended)) {
     auto& client_request = found->second.client_request;
     tracked_bytes_ -= memory_use(client_request);
+    const bool is_safe =
+        settings_.classes[client_request.class_index].idempotency == heronwell::Idempotency::safe;
+    const bool executed = std::ranges::any_of(found->second.attempts, may_have_run);
     if (!client_request.ticket.empty())
-      answered_tickets_.emplace_back(now_, std::move(client_request.ticket));
+      ticket_history_.add(now_, std::move(client_request.ticket), executed && !is_safe);
     requests_.erase(found);
   }
 }
 
-void Reducer::expire_tickets() {
-  while (!answered_tickets_.empty() && (answered_tickets_.front().first + kTicketRetention <= now_ ||
-                                        answered_tickets_.size() > kMaxAnsweredTickets)) {
-    tickets_.erase(answered_tickets_.front().second);
-    answered_tickets_.pop_front();
+bool Reducer::may_have_run(const Attempt& attempt) {
+  if (!attempt.outcome) return false;
+  switch (*attempt.outcome) {
+    case AttemptOutcome::rejected:
+    case AttemptOutcome::expired:
+    case AttemptOutcome::connect_failed:
+      return false;
+    case AttemptOutcome::served:
+    case AttemptOutcome::error:
+    case AttemptOutcome::connection_reset:
+    case AttemptOutcome::query_dropped:
+    case AttemptOutcome::cancelled:
+      break;
   }
+  return true;
 }
 
 }  // namespace bellstair::core
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -3,7 +3,6 @@
 // no clock.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -14,6 +13,7 @@
 #include "core/lifecycle.hpp"
 #include "core/request_log.hpp"
 #include "core/start_clock.hpp"
+#include "core/ticket_history.hpp"
 #include "core/wheel.hpp"
 #include "heronwell/gateway.hpp"
 
@@ -133,7 +133,8 @@
   void cancel_attempt(AttemptId id, Attempt& attempt, bool timed_out);
   // Erases the request if it is answered and all its attempts have ended.
   void erase_if_done(RequestId id);
-  void expire_tickets();
+  // Whether the attempt, which has ended, may have run the query.
+  [[nodiscard]] static bool may_have_run(const Attempt& attempt);
   Request* find(RequestId id);
   Attempt* find(AttemptId id);
   void emit(Effect effect) { effects_->push_back(std::move(effect)); }
@@ -144,8 +145,8 @@
   TimerWheel<Timer> timers_{kTick};
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<ClientHandle, RequestId> request_by_client_;  // unanswered ones only
-  std::unordered_set<std::string> tickets_;                    // of tracked and recently answered requests
-  std::deque<std::pair<Time, std::string>> answered_tickets_;  // no longer tracked, and since when
+  std::unordered_set<std::string> tickets_;  // of tracked and recently answered requests
+  TicketHistory ticket_history_;
   std::unordered_map<EngineId, Member> members_;
   std::unordered_map<EngineId, std::vector<Time>> probes_sent_at_;  // of the probes that have not ended
   std::vector<heronwell::Event> pending_events_;                    // for the next run of the policy
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -377,5 +377,39 @@
   }
 }
 
+// Guards against an unsafe request that runs twice, since its ticket was displaced by those of others.
+TEST(Reducer, TicketOfAnExecutedUnsafeRequestIsNotDisplacedByOtherTickets) {
+  ReducerHarness harness;
+  ClientRequest unsafe_request;
+  unsafe_request.client = 1;
+  unsafe_request.class_index = 1;
+  unsafe_request.timeout = 2s;
+  unsafe_request.ticket = "9b1f03aa5c7e2d41";
+  harness.report(10ms, RequestArrived{unsafe_request});
+  const auto starts = harness.effects_of<StartAttempt>();
+  ASSERT_EQ(starts.size(), 1U);
+  harness.report(1ms, AttemptReady{starts[0].id});
+  harness.report(1ms, RequestCancelled{1});  // its client has gone; the query runs on
+  harness.end_attempt(starts[0].id, AttemptOutcome::served);
+  ClientRequest other;
+  constexpr ClientHandle kOthers = TicketHistory::kMaxOthers + 10;
+  for (ClientHandle client = 2; client < 2 + kOthers; ++client) {
+    other.client = client;
+    other.ticket = std::to_string(client);  // it has no time left, and is rejected
+    harness.report(0ms, RequestArrived{other});
+    harness.report(0ms, RequestCancelled{client});
+  }
+  harness.tick_for(10ms);
+  unsafe_request.client = 2 + kOthers;
+  harness.effects.clear();
+  harness.report(10ms, RequestArrived{unsafe_request});
+  harness.tick_for(100ms);
+  EXPECT_TRUE(harness.effects_of<StartAttempt>().empty());
+  const auto answers = harness.effects_of<Answer>();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].client, unsafe_request.client);
+  EXPECT_EQ(answers[0].kind, AnswerKind::failed);
+}
+
 }  // namespace
 }  // namespace bellstair::core
