--- a/src/platform/jsonrpc.cpp
+++ b/src/platform/jsonrpc.cpp
@@ -103,12 +103,14 @@
 }  // namespace
 
 RpcMessage parse_rpc(std::string_view line, const config::NameIndex& names) {
-  bool too_deep = false;  // deeply nested input is dropped while it is parsed
-  const auto limit_depth = [&too_deep](int depth, json::parse_event_t, json&) {
+  // Deeply nested input and nested arrays, which no call contains, are dropped while they are parsed: to
+  // store them takes far more time and memory than to read them.
+  bool too_deep = false;
+  const auto is_stored = [&too_deep](int depth, json::parse_event_t event, json&) {
     too_deep = too_deep || depth > kMaxNestingDepth;
-    return !too_deep;
+    return !too_deep && (event != json::parse_event_t::array_start || depth == 0);
   };
-  const json message = json::parse(line, limit_depth, false);
+  const json message = json::parse(line, is_stored, false);
   if (too_deep) return RpcError{std::nullopt, kRpcInvalidRequest, "nested too deeply"};
   if (message.is_discarded()) return RpcError{std::nullopt, kParseError, "no JSON"};
   if (!message.is_object()) return RpcError{std::nullopt, kRpcInvalidRequest, "no call"};
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -44,6 +44,27 @@
     EXPECT_FALSE(platform::from_base64(bad)) << bad;
 }
 
+// What calls don't contain is dropped while it is parsed; a call beside it is still read.
+TEST(JsonRpc, NestedArraysAreIgnored) {
+  config::NameIndex names;
+  names.classes = {{"lookup", 0}};
+  const auto parse = [&names](const std::string& members, const std::string& parameters) {
+    return platform::parse_rpc(
+        R"({"jsonrpc":"2.0","id":7,"method":"lookup")" + members + R"(,"params":)" + parameters + "}", names);
+  };
+  const auto parameters = R"({"txn":"9b1f03aa5c7e2d41","limit":1500,"data":"YWJj","extra":[[],[1]]})"s;
+  const auto call = parse(R"(,"extra":[{"id":8},[[]]])", parameters);
+  ASSERT_TRUE(std::holds_alternative<platform::RpcRequest>(call));
+  EXPECT_EQ(std::get<platform::RpcRequest>(call).id, 7U);
+  EXPECT_EQ(std::get<platform::RpcRequest>(call).request.body, "abc");
+  const auto without_ticket = parse("", R"({"txn":["9b1f03aa5c7e2d41"],"limit":1500,"data":"YWJj"})");
+  ASSERT_TRUE(std::holds_alternative<platform::RpcError>(without_ticket));
+  EXPECT_EQ(std::get<platform::RpcError>(without_ticket).id, 7U);
+  const auto no_call = platform::parse_rpc("[[],[]]", names);
+  ASSERT_TRUE(std::holds_alternative<platform::RpcError>(no_call));
+  EXPECT_EQ(std::get<platform::RpcError>(no_call).code, platform::kRpcInvalidRequest);
+}
+
 // Guards against a response with a wrong id to a line of which only the beginning is known.
 std::optional<std::uint64_t> scan_for_id(const std::vector<std::string>& parts) {
   platform::RpcIdScanner scanner;
