Hold no attempt for a client that writes its next line slowly

A client with open requests that wrote its next line in small pieces less than 20 ms apart had all of them held until that line was whole.

Cause: a line of which anything had come within 20 ms counted as one that the system of a departed client still sends.

Change: only if at least 2048 bytes of input have come in the last two windows of 20 ms.

Test: SlowClient.RequestIsServedWhileTheNextOneTrickles; with the program of the commit before it did not end within its time.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -12,8 +12,9 @@
 constexpr core::Time kSilenceTimeout = 2s, kLingerTimeout = 800ms;
 // How soon a client is looked at again that is silent as far as its input has been read, but has sent more.
 constexpr core::Time kUnreadInputDelay = 100ms;
-// A line of which nothing has been received for so long is one that its client writes slowly.
+// A line of which less than this is read in such a time is one that its client writes slowly.
 constexpr core::Time kInputGap = 20ms;
+constexpr std::size_t kMinBacklogBytes = 2048;
 // A line that is too long is answered without its id if that has not been received this much later.
 constexpr core::Time kIdTimeout = 1s;
 }  // namespace
@@ -133,6 +134,20 @@
   connection.stream.queue_for_reading();
 }
 
+void Front::RecentInput::add(core::Time now, std::size_t size) {
+  if (now >= window_start_ + kInputGap) {
+    previous_bytes_ = now < window_start_ + 2 * kInputGap ? bytes_ : 0;
+    window_start_ = now;
+    bytes_ = 0;
+  }
+  last_read_at_ = now;
+  bytes_ += size;
+}
+
+std::size_t Front::RecentInput::bytes(core::Time now) const {
+  return now < last_read_at_ + kInputGap ? previous_bytes_ + bytes_ : 0;
+}
+
 void Front::arm_timer(Connection& connection, core::Time at) {
   if (connection.timer_at != core::Time::zero() && connection.timer_at <= at) return;
   connection.timer_at = at;
@@ -283,7 +298,7 @@
 
 void Front::on_data(Connection& connection, std::string_view bytes) {
   connection.cancellations = 0;
-  connection.last_read_at = core::monotonic_now();
+  connection.recent_input.add(core::monotonic_now(), bytes.size());
   while (reads_lines(connection)) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
@@ -421,7 +436,8 @@
   if (found == open_requests_.end()) return false;
   const auto& connection = *connections_.at(found->second.connection_id);
   if (read_queue_.has_input_from_before(now - net::ReadQueue::kMaxUnreadTime, connection.stream)) return true;
-  const bool may_go_on = read_queue_.waits(connection.stream) || now < connection.last_read_at + kInputGap;
+  const bool may_go_on =
+      read_queue_.waits(connection.stream) || connection.recent_input.bytes(now) >= kMinBacklogBytes;
   return (receives_line(connection) || connection.skips_line) && may_go_on;
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -79,6 +79,17 @@
     std::size_t line_bytes = 0;
     core::Time deadline{};  // it is sent without an id then; 0: not while the client goes on sending
   };
+  // How much was read from a connection lately.
+  class RecentInput {
+   public:
+    void add(core::Time now, std::size_t size);
+    // In the last two windows of kInputGap; 0 if nothing was read for so long.
+    [[nodiscard]] std::size_t bytes(core::Time now) const;
+
+   private:
+    core::Time window_start_{}, last_read_at_{};
+    std::size_t bytes_ = 0, previous_bytes_ = 0;
+  };
   struct Connection {
     std::uint64_t id = 0;
     net::Stream stream;
@@ -95,9 +106,9 @@
     core::Time timer_at{};               // of its earliest timer; 0: none is armed
     unsigned protocol_errors = 0;
     std::size_t cancellations = 0;  // of open requests, in the input that is being processed
-    core::Time last_read_at{};      // when input was last read
-    core::Time line_started_at{};   // when the first part of the incomplete line was received
-    core::Time timeout_start{};     // when it was accepted, last sent part of a line, or was half-closed
+    RecentInput recent_input;
+    core::Time line_started_at{};  // when the first part of the incomplete line was received
+    core::Time timeout_start{};    // when it was accepted, last sent part of a line, or was half-closed
     EvictionRank rank = EvictionRank::unidentified;
     std::list<Connection*>::iterator rank_position;
     std::unordered_map<std::uint64_t, core::ClientHandle> open_requests;  // by the client's request id
--- a/tests/faults/departed_client_test.cpp
+++ b/tests/faults/departed_client_test.cpp
@@ -81,5 +81,27 @@
   EXPECT_EQ(result_body(client.read_response()), "x\ty\tz\n");
 }
 
+// Guards against a request that is held for as long as the next one is written in small pieces.
+TEST(SlowClient, RequestIsServedWhileTheNextOneTrickles) {
+  HttpEngine engine([](const HttpRequest&) { return rows_response("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.send_request(1, "lookup", "SELECT 1");
+  client.socket.send(R"({"jsonrpc":"2.0","id":2,"x":")");
+  // Far less than the limit of the request, and than the limit of a line.
+  std::atomic<bool> answered = false;
+  std::thread trickle([&] {
+    for (int n = 0; n < 1000 && !answered; ++n) {
+      client.socket.send("y");
+      std::this_thread::sleep_for(5ms);
+    }
+    if (!answered) client.socket.send("\"}\n");
+  });
+  EXPECT_EQ(result_body(client.read_response()), "x\ty\tz\n");
+  EXPECT_FALSE(answered.exchange(true));
+  trickle.join();
+  EXPECT_FALSE(client.socket.has_unread_bytes()) << "the second line was still incomplete";
+}
+
 }  // namespace
 }  // namespace bellstair::test
